--- /dev/null
+++ b/cmake/masticproxy_package.cmake
@@ -0,0 +1,44 @@
+# masticproxy_library(name [LINK libs...]): a library package made of all
+# sources below masticproxy/src of the calling folder.
+function(masticproxy_library NAME)
+  cmake_parse_arguments(ARG "" "" "LINK;PRIVATE_LINK" ${ARGN})
+  file(GLOB_RECURSE SOURCES CONFIGURE_DEPENDS masticproxy/src/*.cpp)
+  add_library(masticproxy_${NAME} STATIC ${SOURCES})
+  target_include_directories(masticproxy_${NAME} PUBLIC
+    $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}>
+    $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>)
+  target_link_libraries(masticproxy_${NAME} PUBLIC ${ARG_LINK})
+  foreach(LIB ${ARG_PRIVATE_LINK})
+    target_link_libraries(masticproxy_${NAME} PRIVATE $<BUILD_INTERFACE:${LIB}>)
+  endforeach()
+endfunction()
+
+# masticproxy_install_library(name): installs a package's library and headers.
+function(masticproxy_install_library NAME)
+  install(TARGETS masticproxy_${NAME} EXPORT masticproxyTargets
+          ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR} COMPONENT development)
+  install(DIRECTORY masticproxy DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}
+          COMPONENT development PATTERN "*.cpp" EXCLUDE)
+endfunction()
+
+# masticproxy_test(name sources... [LINK libs...]): one Criterion program,
+# run by CTest with RapidCheck's seed fixed.
+function(masticproxy_test NAME)
+  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;LINK;LABELS" ${ARGN})
+  add_executable(${NAME} ${ARG_SOURCES})
+  target_link_libraries(${NAME} PRIVATE ${ARG_LINK} PkgConfig::CRITERION rapidcheck)
+  target_include_directories(${NAME} SYSTEM PRIVATE
+    $<TARGET_PROPERTY:rapidcheck,INTERFACE_INCLUDE_DIRECTORIES>)
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 120)
+  endif()
+  if(NOT ARG_LABELS)
+    set(ARG_LABELS unit)
+  endif()
+  add_test(NAME ${NAME} COMMAND ${NAME})
+  set_tests_properties(${NAME} PROPERTIES
+    ENVIRONMENT "RC_PARAMS=seed=20261204;MASTICPROXY_BIN=${CMAKE_BINARY_DIR}/bin"
+    TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}")
+endfunction()
+
+set(CMAKE_RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
--- /dev/null
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -0,0 +1,57 @@
+#include "masticproxy/src/Settings/node_settings.h"
+
+#include "masticproxy/src/Settings/checked_values.h"
+#include "masticproxy/src/Settings/settings_error.h"
+
+using namespace masticproxy;
+
+namespace {
+
+/// Checks what no single key can tell.
+void checkTogether(const node_settings &S, std::string_view Source) {
+  std::vector<settings_problem> Problems;
+  auto Need = [&](bool Good, std::string_view Key, std::string_view Expected) {
+    if (!Good)
+      Problems.push_back({std::string(Source), 0, std::string(Key),
+                          "does not fit the other keys",
+                          std::string(Expected)});
+  };
+  Need(S.SuspectAfter > S.HeartbeatInterval, "peers.suspect_after",
+       "more than peers.heartbeat_interval");
+  Need(S.DeadAfter > S.SuspectAfter, "peers.dead_after",
+       "more than peers.suspect_after");
+  Need(S.CallersAddress != S.PeersAddress, "listen.peers",
+       "another address than listen.callers");
+  if (!Problems.empty())
+    throw settings_error(std::move(Problems));
+}
+
+} // namespace
+
+node_settings masticproxy::readNodeSettings(std::string_view Text,
+                                            std::string_view Source) {
+  checked_values Values =
+      checked_values::read(Text, Source, nodeSettingsSpecs());
+  node_settings S;
+  S.Name = Values.text("node.name");
+  S.DataCentre = Values.text("node.data_centre");
+  S.CallersAddress = Values.text("listen.callers");
+  S.PeersAddress = Values.text("listen.peers");
+  S.PlatformAddress = Values.text("platform.address");
+  S.PlatformCallTimeout = Values.span("platform.call_timeout");
+  S.PlatformWatchWait = Values.span("platform.watch_wait");
+  S.HeartbeatInterval = Values.span("peers.heartbeat_interval");
+  S.SuspectAfter = Values.span("peers.suspect_after");
+  S.DeadAfter = Values.span("peers.dead_after");
+  S.Queries = static_cast<std::size_t>(Values.integer("limits.queries"));
+  S.BodyBytes = static_cast<std::size_t>(Values.integer("limits.body_bytes"));
+  S.CallerConnections =
+      static_cast<std::size_t>(Values.integer("limits.caller_connections"));
+  S.BalancerLag = Values.span("leave.balancer_lag");
+  S.FinishWithin = Values.span("leave.finish_within");
+  S.LogLevel = Values.text("log.level");
+  S.TimelineEvents =
+      static_cast<std::size_t>(Values.integer("timeline.events"));
+  checkTogether(S, Source);
+  return S;
+}
--- /dev/null
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -0,0 +1,39 @@
+#ifndef MASTICPROXY_SETTINGS_NODE_SETTINGS_H
+#define MASTICPROXY_SETTINGS_NODE_SETTINGS_H
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace masticproxy {
+
+/// \brief The settings of one entry VM.
+/// \sa nodeSettingsSpecs, which documents each key
+struct node_settings {
+  std::string Name;
+  std::string DataCentre;
+  std::string CallersAddress;
+  std::string PeersAddress;
+  std::string PlatformAddress;
+  std::chrono::milliseconds PlatformCallTimeout;
+  std::chrono::milliseconds PlatformWatchWait;
+  std::chrono::milliseconds HeartbeatInterval;
+  std::chrono::milliseconds SuspectAfter;
+  std::chrono::milliseconds DeadAfter;
+  std::size_t Queries;
+  std::size_t BodyBytes;
+  std::size_t CallerConnections;
+  std::chrono::milliseconds BalancerLag;
+  std::chrono::milliseconds FinishWithin;
+  std::string LogLevel;
+  std::size_t TimelineEvents;
+};
+
+/// Reads a VM's settings from \p Text; \p Source names it in problems.
+/// \throws settings_error with all problems at once.
+node_settings readNodeSettings(std::string_view Text, std::string_view Source);
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Cluster/peer_message.h
@@ -0,0 +1,18 @@
+#ifndef MASTICPROXY_CLUSTER_PEER_MESSAGE_H
+#define MASTICPROXY_CLUSTER_PEER_MESSAGE_H
+
+#include "masticproxy/src/Cluster/configuration_pull.h"
+#include "masticproxy/src/Cluster/configuration_push.h"
+#include "masticproxy/src/Cluster/heartbeat.h"
+
+#include <variant>
+
+namespace masticproxy {
+
+/// \brief All that one VM says to another.
+using peer_message =
+    std::variant<heartbeat, configuration_push, configuration_pull>;
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -0,0 +1,74 @@
+#ifndef MASTICPROXY_QUERY_ENGINE_EVENT_H
+#define MASTICPROXY_QUERY_ENGINE_EVENT_H
+
+#include "masticproxy/src/Query/partial_answer.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace masticproxy {
+
+class query_catalogue;
+
+/// Names one request within a process.
+using query_ticket = std::uint64_t;
+
+/// Names one attempt at a shard within a process.
+using attempt_id = std::uint64_t;
+
+/// \brief A caller's request has come in.
+struct query_arrived {
+  query_ticket Ticket = 0;
+  std::string RequestId;
+  std::string Profile;
+  std::string Index;
+  std::string Body;
+};
+
+/// \brief An upstream answered an attempt.
+struct attempt_answered {
+  attempt_id Attempt = 0;
+  upstream_result Result;
+};
+
+/// \brief Why an attempt has no result.
+enum class attempt_failure {
+  /// No byte of the request left this process.
+  NotSent,
+  /// The upstream says that it refused the request before running it.
+  Refused,
+  /// The upstream is leaving and refused the request before running it.
+  Draining,
+  /// The upstream no longer holds the snapshot; it did not run the request.
+  SnapshotGone,
+  /// The connection died after bytes had left: it may have run.
+  Unknown,
+};
+
+/// \brief An attempt ended without a result.
+struct attempt_failed {
+  attempt_id Attempt = 0;
+  attempt_failure Failure = attempt_failure::Unknown;
+};
+
+/// \brief New configuration is in force.
+struct catalogue_changed {
+  std::shared_ptr<const query_catalogue> Catalogue;
+};
+
+/// \brief The instant asked for by query_engine::nextWakeup() has come.
+struct timer_fired {};
+
+/// \brief The process is leaving: no new request is admitted.
+struct leave_started {};
+
+/// \brief All that the query engine reacts to.
+using engine_event =
+    std::variant<query_arrived, attempt_answered, attempt_failed,
+                 catalogue_changed, timer_fired, leave_started>;
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Query/partial_answer.h
@@ -0,0 +1,69 @@
+#ifndef MASTICPROXY_QUERY_PARTIAL_ANSWER_H
+#define MASTICPROXY_QUERY_PARTIAL_ANSWER_H
+
+#include "masticproxy/src/Query/coverage.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace masticproxy {
+
+struct index_snapshot;
+
+/// \brief One shard's result as it came from an upstream, not yet checked.
+struct upstream_result {
+  std::string RequestId;
+  std::string Snapshot;
+  std::string Shard;
+  std::string Body;
+};
+
+/// \brief One shard's result inside an answer.
+struct shard_result {
+  std::string Shard;
+  std::string Body;
+};
+
+/// \brief The results gathered for one request from one pinned snapshot.
+///
+/// It can't hold results of two snapshots: it is bound to one when made, and
+/// add() takes nothing else.
+class partial_answer {
+public:
+  /// Binds the answer to \p RequestId and \p Snapshot.
+  partial_answer(std::string RequestId,
+                 std::shared_ptr<const index_snapshot> Snapshot);
+
+  /// Adds \p Result if it belongs to this request, this snapshot and a shard
+  /// that has no result yet. \returns whether it was added.
+  bool add(upstream_result Result);
+
+  /// \returns whether the shard at \p ShardIndex of the snapshot answered.
+  bool has(std::size_t ShardIndex) const {
+    return Bodies[ShardIndex].has_value();
+  }
+
+  /// \returns the true coverage of what was added so far.
+  coverage stated() const;
+
+  /// \returns the id of the bound snapshot.
+  std::string_view snapshot() const;
+
+  /// Moves the results out, in the order of the snapshot's shards.
+  std::vector<shard_result> takeResults();
+
+private:
+  std::optional<std::size_t> shardIndex(std::string_view Shard) const;
+
+  std::string RequestId;
+  std::shared_ptr<const index_snapshot> Snapshot;
+  std::vector<std::optional<std::string>> Bodies;
+  std::size_t Answered = 0;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Query/profile.h
@@ -0,0 +1,23 @@
+#ifndef MASTICPROXY_QUERY_PROFILE_H
+#define MASTICPROXY_QUERY_PROFILE_H
+
+#include <chrono>
+#include <string>
+
+namespace masticproxy {
+
+/// \brief What a kind of caller may expect; edited by operators.
+struct profile {
+  /// Name by which services pick the profile.
+  std::string Name;
+  /// Longest time a caller waits for an answer.
+  std::chrono::milliseconds Wait{0};
+  /// Least share of shards an answer must cover, in (0, 1].
+  double Coverage = 1.0;
+  /// Whether a request is idempotent, so that it may run more than once.
+  bool MayRepeat = false;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Query/query_catalogue.cpp
@@ -0,0 +1,37 @@
+#include "masticproxy/src/Query/query_catalogue.h"
+
+#include <utility>
+
+using namespace masticproxy;
+
+void query_catalogue::setProfile(profile Profile) {
+  std::string Name = Profile.Name;
+  Profiles.insert_or_assign(std::move(Name), std::move(Profile));
+}
+
+void query_catalogue::setIndex(index_map Index) {
+  std::string Name = Index.Name;
+  Indexes.insert_or_assign(std::move(Name), std::move(Index));
+}
+
+const profile *query_catalogue::findProfile(std::string_view Name) const {
+  auto Found = Profiles.find(Name);
+  return Found == Profiles.end() ? nullptr : &Found->second;
+}
+
+const index_map *query_catalogue::findIndex(std::string_view Name) const {
+  auto Found = Indexes.find(Name);
+  return Found == Indexes.end() ? nullptr : &Found->second;
+}
+
+void query_catalogue::removeProfile(std::string_view Name) {
+  auto Found = Profiles.find(Name);
+  if (Found != Profiles.end())
+    Profiles.erase(Found);
+}
+
+void query_catalogue::removeIndex(std::string_view Name) {
+  auto Found = Indexes.find(Name);
+  if (Found != Indexes.end())
+    Indexes.erase(Found);
+}
--- /dev/null
+++ b/packages/core/masticproxy/src/Query/query_catalogue.h
@@ -0,0 +1,47 @@
+#ifndef MASTICPROXY_QUERY_QUERY_CATALOGUE_H
+#define MASTICPROXY_QUERY_QUERY_CATALOGUE_H
+
+#include "masticproxy/src/Query/index_map.h"
+#include "masticproxy/src/Query/profile.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace masticproxy {
+
+/// \brief The profiles and index maps in force at one instant; immutable once
+/// published.
+class query_catalogue {
+public:
+  /// Adds or replaces a profile.
+  void setProfile(profile Profile);
+
+  /// Adds or replaces an index map.
+  void setIndex(index_map Index);
+
+  /// Removes the profile called \p Name, if there is one.
+  void removeProfile(std::string_view Name);
+
+  /// Removes the index called \p Name, if there is one.
+  void removeIndex(std::string_view Name);
+
+  /// \returns the profile called \p Name, or null.
+  const profile *findProfile(std::string_view Name) const;
+
+  /// \returns the index called \p Name, or null.
+  const index_map *findIndex(std::string_view Name) const;
+
+  /// \returns all index maps by name.
+  const std::map<std::string, index_map, std::less<>> &indexes() const {
+    return Indexes;
+  }
+
+private:
+  std::map<std::string, profile, std::less<>> Profiles;
+  std::map<std::string, index_map, std::less<>> Indexes;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -0,0 +1,85 @@
+#include "masticproxy/src/Query/query_run.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace masticproxy;
+
+query_run::query_run(query_arrived NewRequest, profile NewProfile,
+                     std::shared_ptr<const index_snapshot> NewSnapshot,
+                     time_point NewDeadline)
+    : Request(std::move(NewRequest)),
+      Body(std::make_shared<const std::string>(std::move(Request.Body))),
+      Profile(std::move(NewProfile)), Snapshot(std::move(NewSnapshot)),
+      Deadline(NewDeadline), Partial(Request.RequestId, Snapshot),
+      Shards(Snapshot->Shards.size()) {}
+
+bool query_run::wantsAttempt(std::size_t Shard) const {
+  const shard_state &State = Shards[Shard];
+  if (Partial.has(Shard) || !State.Open.empty())
+    return false;
+  return Profile.MayRepeat || !State.MayHaveRun;
+}
+
+void query_run::attemptStarted(std::size_t Shard, attempt_id Attempt,
+                               std::string Upstream) {
+  Shards[Shard].Tried.push_back(std::move(Upstream));
+  Shards[Shard].Open.push_back(Attempt);
+}
+
+bool query_run::attemptAnswered(std::size_t Shard, attempt_id Attempt,
+                                upstream_result Result) {
+  closeAttempt(Shard, Attempt);
+  Shards[Shard].MayHaveRun = true;
+  return Partial.add(std::move(Result));
+}
+
+void query_run::attemptFailed(std::size_t Shard, attempt_id Attempt,
+                              attempt_failure Failure) {
+  closeAttempt(Shard, Attempt);
+  if (Failure == attempt_failure::Unknown)
+    Shards[Shard].MayHaveRun = true;
+}
+
+bool query_run::nothingRan() const {
+  return std::all_of(Shards.begin(), Shards.end(), [](const shard_state &S) {
+    return S.Open.empty() && !S.MayHaveRun;
+  });
+}
+
+void query_run::restartOn(std::shared_ptr<const index_snapshot> NewSnapshot) {
+  Snapshot = std::move(NewSnapshot);
+  Partial = partial_answer(Request.RequestId, Snapshot);
+  Shards.assign(Snapshot->Shards.size(), shard_state{});
+  ++Generation;
+}
+
+bool query_run::complete() const {
+  coverage Stated = Partial.stated();
+  return Stated.Answered == Stated.Asked;
+}
+
+bool query_run::stuck() const {
+  for (std::size_t I = 0; I < Shards.size(); ++I)
+    if (!Partial.has(I) && Shards[I].Open.empty() && !wantsAttempt(I))
+      return true;
+  return false;
+}
+
+query_outcome query_run::finish() {
+  coverage Stated = Partial.stated();
+  // An empty snapshot has nothing left to ask: it is complete by definition.
+  bool Enough = Stated.Asked == 0 || Stated.share() >= Profile.Coverage;
+  if (Enough)
+    return answered{std::string(Partial.snapshot()), Stated,
+                    Partial.takeResults()};
+  if (nothingRan())
+    return not_run{"no upstream took the request within the profile's wait"};
+  if (!Profile.MayRepeat)
+    return outcome_unknown{"the request may have run on some shards"};
+  return too_late{Stated};
+}
+
+void query_run::closeAttempt(std::size_t Shard, attempt_id Attempt) {
+  std::erase(Shards[Shard].Open, Attempt);
+}
--- /dev/null
+++ b/packages/ctl/masticproxy/src/Ctl/ctl_options.cpp
@@ -0,0 +1,139 @@
+#include "masticproxy/src/Ctl/ctl_options.h"
+
+#include "masticproxy/src/Ctl/ctl_error.h"
+
+#include <getopt.h>
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+using namespace masticproxy;
+
+namespace {
+
+std::vector<std::string> split(const std::string &Text) {
+  std::vector<std::string> Parts;
+  std::istringstream In(Text);
+  for (std::string Part; std::getline(In, Part, ',');)
+    if (!Part.empty())
+      Parts.push_back(Part);
+  return Parts;
+}
+
+std::uint64_t readNumber(const std::string &Option, const std::string &Text) {
+  std::uint64_t Number = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Error] = std::from_chars(Text.data(), End, Number);
+  if (Error != std::errc() || Stop != End)
+    throw ctl_error(ctl_exit::Usage,
+                    Option + " needs a whole number, not \"" + Text + "\"");
+  return Number;
+}
+
+} // namespace
+
+ctl_options masticproxy::readCtlOptions(int ArgCount, char **Args) {
+  static const option Known[] = {
+      {"vm", required_argument, nullptr, 'm'},
+      {"platform", required_argument, nullptr, 'p'},
+      {"index", required_argument, nullptr, 'i'},
+      {"profile", required_argument, nullptr, 'f'},
+      {"request", required_argument, nullptr, 'r'},
+      {"body", required_argument, nullptr, 'b'},
+      {"if-version", required_argument, nullptr, 'v'},
+      {"timeout-ms", required_argument, nullptr, 't'},
+      {"json", no_argument, nullptr, 'j'},
+      {"help", no_argument, nullptr, 'h'},
+      {"version", no_argument, nullptr, 'V'},
+      {nullptr, 0, nullptr, 0}};
+  ctl_options Options;
+  opterr = 0;
+  optind = 1;
+  int Found = 0;
+  while ((Found = getopt_long(ArgCount, Args, "hV", Known, nullptr)) != -1) {
+    switch (Found) {
+    case 'm':
+      Options.Vms = split(optarg);
+      break;
+    case 'p':
+      Options.Platform = optarg;
+      break;
+    case 'i':
+      Options.Index = optarg;
+      break;
+    case 'f':
+      Options.Profile = optarg;
+      break;
+    case 'r':
+      Options.RequestId = optarg;
+      break;
+    case 'b':
+      Options.Body = optarg;
+      break;
+    case 'v':
+      Options.IfVersion = readNumber("--if-version", optarg);
+      break;
+    case 't':
+      Options.Timeout =
+          std::chrono::milliseconds(readNumber("--timeout-ms", optarg));
+      break;
+    case 'j':
+      Options.Json = true;
+      break;
+    case 'h':
+      Options.ShowHelp = true;
+      break;
+    case 'V':
+      Options.ShowVersion = true;
+      break;
+    default:
+      throw ctl_error(ctl_exit::Usage, "unknown or incomplete option: " +
+                                           std::string(Args[optind - 1]));
+    }
+  }
+  for (int I = optind; I < ArgCount; ++I)
+    Options.Words.emplace_back(Args[I]);
+  return Options;
+}
+
+std::string masticproxy::ctlHelp() {
+  return "Usage: masticctl COMMAND [OPTIONS]\n"
+         "\n"
+         "Commands:\n"
+         "  query                      send one query\n"
+         "      --vm ADDRESS --index NAME --profile NAME [--body TEXT]\n"
+         "      [--request ID]\n"
+         "  profile list               list the profiles      --platform "
+         "ADDRESS\n"
+         "  profile get NAME           print a profile\n"
+         "  profile apply NAME FILE    create or change a profile "
+         "[--if-version N]\n"
+         "  profile delete NAME        delete a profile       [--if-version "
+         "N]\n"
+         "  profile status NAME        version in force on each VM --vm "
+         "A,B,...\n"
+         "  index list|get|apply|delete  the same for index maps\n"
+         "  status                     what each VM reports   --vm A,B,...\n"
+         "  timeline                   events of all VMs in order --vm "
+         "A,B,...\n"
+         "      [--request ID]\n"
+         "  check settings FILE        check a VM's settings\n"
+         "  check profile FILE         check a profile\n"
+         "  check index FILE           check an index map\n"
+         "\n"
+         "Options for all: --json, --timeout-ms N, --help, --version\n"
+         "\n"
+         "Exit codes: 0 good, 1 unreachable, 2 bad command line or file,\n"
+         "3 conflict with another edit, 4 refused or not answered in full,\n"
+         "5 the write may have taken effect.\n";
+}
+
+std::string masticproxy::readTextFile(const std::string &Path) {
+  std::ifstream File(Path);
+  if (!File)
+    throw ctl_error(ctl_exit::Usage, "can't read " + Path);
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
--- /dev/null
+++ b/packages/ctl/masticproxy/src/Ctl/object_command.cpp
@@ -0,0 +1,186 @@
+#include "masticproxy/src/Ctl/object_command.h"
+
+#include "masticproxy/src/Ctl/ctl_error.h"
+#include "masticproxy/src/Ctl/ctl_options.h"
+#include "masticproxy/src/Ctl/object_editor.h"
+#include "masticproxy/src/Net/http_platform.h"
+#include "masticproxy/src/Query/index_map.h"
+#include "masticproxy/src/Query/profile.h"
+#include "masticproxy/src/Settings/index_text.h"
+#include "masticproxy/src/Settings/profile_text.h"
+
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+#include <nlohmann/json.hpp>
+
+#include <iomanip>
+#include <ostream>
+
+using namespace masticproxy;
+
+namespace {
+
+constexpr int NameWidth = 24;
+
+nlohmann::json objectJson(const platform_object &Object) {
+  return {{"name", Object.Name},
+          {"version", Object.Version},
+          {"value", Object.Value}};
+}
+
+[[noreturn]] void failUnreachable(const std::string &Reason) {
+  throw ctl_error(ctl_exit::Unreachable,
+                  "the platform gave no answer: " + Reason);
+}
+
+void list(platform_api &Platform, std::string_view Kind, bool Json,
+          std::ostream &Out) {
+  platform_changes_result Result = Platform.list(Kind);
+  if (auto *Failure = std::get_if<platform_unavailable>(&Result))
+    failUnreachable(Failure->Reason);
+  nlohmann::json Rows = nlohmann::json::array();
+  if (!Json)
+    Out << std::left << std::setw(NameWidth) << "NAME"
+        << "VERSION\n";
+  for (const platform_object &Object :
+       std::get<platform_changes>(Result).Objects) {
+    if (Object.Deleted)
+      continue;
+    if (Json)
+      Rows.push_back(objectJson(Object));
+    else
+      Out << std::left << std::setw(NameWidth) << Object.Name << Object.Version
+          << "\n";
+  }
+  if (Json)
+    Out << Rows.dump(2) << "\n";
+}
+
+void get(platform_api &Platform, std::string_view Kind, const std::string &Name,
+         bool Json, std::ostream &Out) {
+  platform_read_result Result = Platform.get(Kind, Name);
+  if (auto *Failure = std::get_if<platform_unavailable>(&Result))
+    failUnreachable(Failure->Reason);
+  auto *Object = std::get_if<platform_object>(&Result);
+  if (!Object)
+    throw ctl_error(ctl_exit::Refused,
+                    "no " + std::string(Kind) + " called " + Name);
+  if (Json)
+    Out << objectJson(*Object).dump(2) << "\n";
+  else
+    Out << "# version " << Object->Version << "\n" << Object->Value;
+}
+
+/// Prints the result of an edit, or throws it as an error.
+struct edit_reporter {
+  std::string What;
+  bool Json;
+  std::ostream &Out;
+
+  void operator()(const edit_applied &Result) const {
+    if (Json) {
+      Out << nlohmann::json(
+                 {{"version", Result.Version},
+                  {"found_by_reading_back", Result.FoundByReadingBack}})
+                 .dump()
+          << "\n";
+      return;
+    }
+    Out << What << " has version " << Result.Version;
+    if (Result.FoundByReadingBack)
+      Out << " (the answer was lost; the edit was found by reading back)";
+    Out << "\n";
+  }
+
+  void operator()(const edit_conflict &Result) const {
+    std::string Message =
+        What + " was changed by somebody else; nothing was written.\n";
+    if (Result.Current)
+      Message += "It now has version " +
+                 std::to_string(Result.Current->Version) + ":\n" +
+                 Result.Current->Value;
+    else
+      Message += "It does not exist any more.";
+    throw ctl_error(ctl_exit::Conflict, Message);
+  }
+
+  void operator()(const edit_unknown &Result) const {
+    throw ctl_error(ctl_exit::Unknown,
+                    "the platform gave no answer (" + Result.Reason +
+                        "); the edit may have taken effect. Look with get "
+                        "before you try again.");
+  }
+
+  void operator()(const edit_not_made &Result) const {
+    failUnreachable(Result.Reason + "; nothing was written");
+  }
+};
+
+void apply(platform_api &Platform, std::string_view Kind,
+           const ctl_options &Options, std::ostream &Out) {
+  const std::string &Name = Options.Words[2];
+  std::string Text = readTextFile(Options.Words[3]);
+  checkObjectText(Kind, Text, Name);
+  std::string EditId =
+      boost::uuids::to_string(boost::uuids::random_generator()());
+  edit_result Result = object_editor(Platform).apply(Kind, Name, Text, EditId,
+                                                     Options.IfVersion);
+  std::visit(edit_reporter{std::string(Kind) + " " + Name, Options.Json, Out},
+             Result);
+}
+
+void remove(platform_api &Platform, std::string_view Kind,
+            const ctl_options &Options, std::ostream &Out) {
+  const std::string &Name = Options.Words[2];
+  std::uint64_t Version = Options.IfVersion.value_or(0);
+  if (!Options.IfVersion) {
+    platform_read_result Read = Platform.get(Kind, Name);
+    if (auto *Failure = std::get_if<platform_unavailable>(&Read))
+      failUnreachable(Failure->Reason + "; nothing was written");
+    if (auto *Object = std::get_if<platform_object>(&Read))
+      Version = Object->Version;
+    else
+      throw ctl_error(ctl_exit::Refused,
+                      "no " + std::string(Kind) + " called " + Name);
+  }
+  edit_reporter Report{std::string(Kind) + " " + Name, Options.Json, Out};
+  platform_write_result Result = Platform.remove(Kind, Name, Version);
+  if (auto *Object = std::get_if<platform_object>(&Result))
+    Report(edit_applied{Object->Version, false});
+  else if (auto *Conflict = std::get_if<platform_conflict>(&Result))
+    Report(edit_conflict{Conflict->Current});
+  else
+    Report(edit_unknown{std::get<platform_unavailable>(Result).Reason});
+}
+
+} // namespace
+
+void masticproxy::checkObjectText(std::string_view Kind, std::string_view Text,
+                                  std::string_view Name) {
+  if (Kind == "profile")
+    readProfile(Text, Name);
+  else
+    readIndexMap(Text, Name);
+}
+
+void masticproxy::runObjectCommand(std::string_view Kind,
+                                   const ctl_options &Options,
+                                   std::ostream &Out) {
+  if (Options.Platform.empty())
+    throw ctl_error(ctl_exit::Usage, "--platform ADDRESS is required");
+  http_platform Platform(Options.Platform, Options.Timeout);
+  std::string Verb = Options.Words.size() > 1 ? Options.Words[1] : "";
+  std::size_t Count = Options.Words.size();
+  if (Verb == "list" && Count == 2)
+    return list(Platform, Kind, Options.Json, Out);
+  if (Verb == "get" && Count == 3)
+    return get(Platform, Kind, Options.Words[2], Options.Json, Out);
+  if (Verb == "apply" && Count == 4)
+    return apply(Platform, Kind, Options, Out);
+  if (Verb == "delete" && Count == 3)
+    return remove(Platform, Kind, Options, Out);
+  throw ctl_error(ctl_exit::Usage,
+                  "expected list, get NAME, apply NAME FILE or delete NAME "
+                  "after " +
+                      std::string(Kind));
+}
--- /dev/null
+++ b/packages/ctl/masticproxy/src/Ctl/object_editor.h
@@ -0,0 +1,67 @@
+#ifndef MASTICPROXY_CTL_OBJECT_EDITOR_H
+#define MASTICPROXY_CTL_OBJECT_EDITOR_H
+
+#include "masticproxy/src/Net/platform_api.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace masticproxy {
+
+/// \brief The edit took effect.
+struct edit_applied {
+  std::uint64_t Version = 0;
+  /// Whether the platform's answer was lost and the edit was found by reading
+  /// back.
+  bool FoundByReadingBack = false;
+};
+
+/// \brief Somebody else changed the object; nothing was written.
+struct edit_conflict {
+  /// What stands there now; nothing where the object does not exist.
+  std::optional<platform_object> Current;
+};
+
+/// \brief The platform gave no answer; the edit may have taken effect.
+struct edit_unknown {
+  std::string Reason;
+};
+
+/// \brief The platform could not be read; nothing was written.
+struct edit_not_made {
+  std::string Reason;
+};
+
+using edit_result =
+    std::variant<edit_applied, edit_conflict, edit_unknown, edit_not_made>;
+
+/// \brief Writes configuration objects so that no edit is lost or made twice.
+class object_editor {
+public:
+  explicit object_editor(platform_api &Platform) : Platform(Platform) {}
+
+  /// Writes \p Text if the object still has version \p IfVersion; without one,
+  /// if it does not change between a read and the write. \p EditId marks the
+  /// text, so that the edit is known again when the answer is lost.
+  edit_result apply(std::string_view Kind, std::string_view Name,
+                    std::string_view Text, std::string_view EditId,
+                    std::optional<std::uint64_t> IfVersion);
+
+private:
+  edit_result readBack(std::string_view Kind, std::string_view Name,
+                       std::string_view Marked, std::uint64_t IfVersion,
+                       const std::string &Reason);
+
+  platform_api &Platform;
+};
+
+/// \returns \p Text of an object of \p Kind, marked with \p EditId.
+std::string markEdit(std::string_view Kind, std::string_view Text,
+                     std::string_view EditId);
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/ctl/masticproxy/src/Ctl/vm_reports.h
@@ -0,0 +1,27 @@
+#ifndef MASTICPROXY_CTL_VM_REPORTS_H
+#define MASTICPROXY_CTL_VM_REPORTS_H
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace masticproxy {
+
+struct ctl_options;
+
+/// \brief What one VM answered to a read, or why it did not.
+struct vm_report {
+  std::string Vm;
+  bool Reached = false;
+  /// The body, or the reason.
+  std::string Text;
+};
+
+/// Asks every VM of \p Options for \p Target. \throws ctl_error where none is
+/// named.
+std::vector<vm_report> askVms(const ctl_options &Options,
+                              std::string_view Target);
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -0,0 +1,185 @@
+#include "masticproxy/src/Daemon/callers_thread.h"
+
+#include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/outcome_response.h"
+#include "masticproxy/src/Net/event_log.h"
+#include "masticproxy/src/Settings/node_settings.h"
+
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace masticproxy;
+
+namespace {
+
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusUnavailable = 503;
+constexpr std::size_t MaxRequestIdBytes = 128;
+
+constexpr std::string_view QueryPrefix = "/v1/indexes/";
+constexpr std::string_view QuerySuffix = "/query";
+
+http_response plainText(std::string Body) {
+  http_response Response;
+  Response.Headers.emplace_back("content-type", "text/plain; version=0.0.4");
+  Response.Body = std::move(Body);
+  return Response;
+}
+
+http_response jsonText(std::string Body) {
+  http_response Response;
+  Response.Headers.emplace_back("content-type", "application/json");
+  Response.Body = std::move(Body);
+  return Response;
+}
+
+/// The index named in `/v1/indexes/NAME/query`, or "".
+std::string indexIn(std::string_view Path) {
+  bool Fits = Path.size() > QueryPrefix.size() + QuerySuffix.size() &&
+              Path.starts_with(QueryPrefix) && Path.ends_with(QuerySuffix);
+  if (!Fits)
+    return {};
+  Path.remove_prefix(QueryPrefix.size());
+  Path.remove_suffix(QuerySuffix.size());
+  return percentDecoded(Path);
+}
+
+bool isPrintable(std::string_view Text) {
+  for (char C : Text)
+    if (C <= ' ' || C > '~')
+      return false;
+  return true;
+}
+
+} // namespace
+
+callers_thread::callers_thread(const node_settings &Settings,
+                               counter_registry &Counters, event_log &Events,
+                               const published<node_status> &Status)
+    : Settings(Settings), Counters(Counters), Events(Events), Status(Status),
+      Outcomes(RequestRingCapacity, [this] {
+        Loop.post([this] {
+          Outcomes.drain([this](deliver_outcome O) { deliver(std::move(O)); });
+        });
+      }) {}
+
+callers_thread::~callers_thread() { stop(); }
+
+void callers_thread::start() {
+  http_server_limits Limits;
+  Limits.BodyBytes = Settings.BodyBytes;
+  Limits.Connections = Settings.CallerConnections;
+  Server = std::make_unique<http_server>(
+      Loop.context(), Settings.CallersAddress, Limits,
+      [this](http_request Request, http_server::responder Respond) {
+        handle(std::move(Request), Respond);
+      });
+  Loop.start();
+}
+
+void callers_thread::stop() {
+  Loop.stop();
+  Pending.clear();
+  Server.reset();
+}
+
+void callers_thread::stopAccepting() {
+  Loop.call([this] { Server->stopAccepting(); });
+}
+
+void callers_thread::handle(http_request Request,
+                            const http_server::responder &Respond) {
+  bool IsQuery = !indexIn(targetPath(Request.Target)).empty();
+  if (IsQuery && Request.Method == "POST")
+    return handleQuery(std::move(Request), Respond);
+  Respond(handleRead(Request));
+}
+
+void callers_thread::handleQuery(http_request Request,
+                                 const http_server::responder &Respond) {
+  query_arrived Query;
+  Query.Ticket = NextTicket++;
+  Query.Index = indexIn(targetPath(Request.Target));
+  Query.Profile = targetParameter(Request.Target, "profile");
+  Query.RequestId = findHeader(Request.Headers, "x-request-id");
+  Query.Body = std::move(Request.Body);
+  if (Query.RequestId.empty())
+    Query.RequestId = newRequestId();
+  if (Query.RequestId.size() > MaxRequestIdBytes ||
+      !isPrintable(Query.RequestId))
+    return Respond(errorResponse(StatusBadRequest, "bad_request",
+                                 "x-request-id needs 1 to 128 printable "
+                                 "characters without spaces",
+                                 ""));
+  if (Query.Profile.empty())
+    return Respond(errorResponse(StatusBadRequest, "bad_request",
+                                 "the query string needs profile=NAME",
+                                 Query.RequestId));
+  std::string RequestId = Query.RequestId;
+  query_ticket Ticket = Query.Ticket;
+  Pending.emplace(Ticket, Respond);
+  if (Engine->push(Query))
+    return;
+  Pending.erase(Ticket);
+  Counters.get("query_ring_full_total").add();
+  Respond(toCallerResponse(RequestId, not_run{"this VM is overloaded"}));
+}
+
+http_response callers_thread::handleRead(const http_request &Request) const {
+  std::string_view Path = targetPath(Request.Target);
+  if (Path == "/healthz")
+    return plainText("ok\n");
+  if (Path == "/readyz")
+    return ready();
+  if (Path == "/metrics")
+    return plainText(Counters.prometheusText());
+  if (Path == "/v1/timeline")
+    return timeline(Request);
+  if (Path == "/v1/status") {
+    std::shared_ptr<const node_status> Newest = Status.get();
+    return jsonText(toJson(Newest ? *Newest : node_status{}));
+  }
+  return errorResponse(StatusNotFound, "not_found", "no such page", "");
+}
+
+http_response callers_thread::ready() const {
+  std::shared_ptr<const node_status> Newest = Status.get();
+  bool Configured = Newest && Newest->ConfigurationRevision > 0;
+  if (Ready.load() && Configured)
+    return plainText("ready\n");
+  http_response Response =
+      plainText(Ready.load() ? "no configuration yet\n" : "leaving\n");
+  Response.Status = StatusUnavailable;
+  return Response;
+}
+
+http_response callers_thread::timeline(const http_request &Request) const {
+  std::string Wanted = targetParameter(Request.Target, "request");
+  std::string Lines;
+  for (const timeline_event &Event : Events.events(Wanted)) {
+    nlohmann::json Line = {
+        {"us", Event.At.Microseconds},   {"counter", Event.At.Counter},
+        {"vm", Settings.Name},           {"kind", Event.Kind},
+        {"request_id", Event.RequestId}, {"detail", Event.Detail}};
+    Lines +=
+        Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    Lines.push_back('\n');
+  }
+  return jsonText(std::move(Lines));
+}
+
+void callers_thread::deliver(deliver_outcome Outcome) {
+  auto Found = Pending.find(Outcome.Ticket);
+  if (Found == Pending.end())
+    return;
+  http_server::responder Respond = std::move(Found->second);
+  Pending.erase(Found);
+  Respond(toCallerResponse(Outcome.RequestId, std::move(Outcome.Outcome)));
+}
+
+std::string callers_thread::newRequestId() {
+  thread_local boost::uuids::random_generator Generate;
+  return boost::uuids::to_string(Generate());
+}
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.h
@@ -0,0 +1,68 @@
+#ifndef MASTICPROXY_DAEMON_CALLERS_THREAD_H
+#define MASTICPROXY_DAEMON_CALLERS_THREAD_H
+
+#include "masticproxy/src/Base/published.h"
+#include "masticproxy/src/Daemon/daemon_rings.h"
+#include "masticproxy/src/Daemon/loop_thread.h"
+#include "masticproxy/src/Daemon/node_status.h"
+#include "masticproxy/src/Net/http_server.h"
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace masticproxy {
+
+class counter_registry;
+class event_log;
+struct node_settings;
+
+/// \brief Serves callers, the balancer and operators over HTTP.
+class callers_thread {
+public:
+  callers_thread(const node_settings &Settings, counter_registry &Counters,
+                 event_log &Events, const published<node_status> &Status);
+  ~callers_thread();
+
+  /// Sets the ring that requests go to; before start().
+  void connect(query_ring &NewEngine) { Engine = &NewEngine; }
+
+  outcome_ring &outcomes() { return Outcomes; }
+
+  /// Listens and starts. \throws std::runtime_error where it can't listen.
+  void start();
+  void stop();
+
+  /// Fails the ready check, so that the balancer sends no more requests.
+  void stopBeingReady() { Ready.store(false); }
+
+  /// Takes no further connection; open ones end after the response due.
+  void stopAccepting();
+
+private:
+  void handle(http_request Request, const http_server::responder &Respond);
+  void handleQuery(http_request Request, const http_server::responder &Respond);
+  http_response handleRead(const http_request &Request) const;
+  http_response ready() const;
+  http_response timeline(const http_request &Request) const;
+  void deliver(deliver_outcome Outcome);
+  std::string newRequestId();
+
+  const node_settings &Settings;
+  counter_registry &Counters;
+  event_log &Events;
+  const published<node_status> &Status;
+  loop_thread Loop;
+  std::unique_ptr<http_server> Server;
+  outcome_ring Outcomes;
+  query_ring *Engine = nullptr;
+  std::unordered_map<query_ticket, http_server::responder> Pending;
+  query_ticket NextTicket = 1;
+  std::atomic<bool> Ready{true};
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/control_links.h
@@ -0,0 +1,35 @@
+#ifndef MASTICPROXY_DAEMON_CONTROL_LINKS_H
+#define MASTICPROXY_DAEMON_CONTROL_LINKS_H
+
+#include "masticproxy/src/Base/published.h"
+#include "masticproxy/src/Daemon/daemon_rings.h"
+#include "masticproxy/src/Daemon/node_status.h"
+
+#include <functional>
+
+namespace masticproxy {
+
+class clock;
+class counter_registry;
+class event_log;
+struct node_settings;
+
+/// \brief What the control duty is joined to.
+struct control_links {
+  const node_settings &Settings;
+  const clock &Clock;
+  counter_registry &Counters;
+  event_log &Events;
+  /// Grows with each start of the process.
+  std::uint64_t Incarnation;
+  platform_event_ring &FromPlatform;
+  peer_inbox_ring &FromPeers;
+  update_ring &ToEngine;
+  peer_outbox_ring &ToPeers;
+  published<node_status> &Status;
+  std::function<bool()> PlatformReachable;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_options.cpp
@@ -0,0 +1,61 @@
+#include "masticproxy/src/Daemon/daemon_options.h"
+
+#include <getopt.h>
+
+#include <stdexcept>
+
+using namespace masticproxy;
+
+daemon_options masticproxy::readDaemonOptions(int ArgCount, char **Args) {
+  static const option Known[] = {{"settings", required_argument, nullptr, 's'},
+                                 {"check", no_argument, nullptr, 'c'},
+                                 {"help", no_argument, nullptr, 'h'},
+                                 {"version", no_argument, nullptr, 'V'},
+                                 {nullptr, 0, nullptr, 0}};
+  daemon_options Options;
+  opterr = 0;
+  optind = 1;
+  int Found = 0;
+  while ((Found = getopt_long(ArgCount, Args, "s:chV", Known, nullptr)) != -1) {
+    switch (Found) {
+    case 's':
+      Options.SettingsFile = optarg;
+      break;
+    case 'c':
+      Options.CheckOnly = true;
+      break;
+    case 'h':
+      Options.ShowHelp = true;
+      break;
+    case 'V':
+      Options.ShowVersion = true;
+      break;
+    default:
+      throw std::invalid_argument("unknown or incomplete option: " +
+                                  std::string(Args[optind - 1]));
+    }
+  }
+  if (optind < ArgCount)
+    throw std::invalid_argument("unexpected argument: " +
+                                std::string(Args[optind]));
+  bool NeedsFile = !Options.ShowHelp && !Options.ShowVersion;
+  if (NeedsFile && Options.SettingsFile.empty())
+    throw std::invalid_argument("--settings FILE is required");
+  return Options;
+}
+
+std::string masticproxy::daemonHelp() {
+  return "Usage: masticproxyd --settings FILE [--check]\n"
+         "\n"
+         "The entry daemon of masticproxy: one on each entry VM.\n"
+         "\n"
+         "  -s, --settings FILE  TOML settings of this VM\n"
+         "  -c, --check          check the settings and exit\n"
+         "  -h, --help           show this text\n"
+         "  -V, --version        show the version\n"
+         "\n"
+         "SIGTERM and SIGINT leave without cutting a request; SIGHUP reads\n"
+         "log.level from the settings again.\n"
+         "Exit codes: 0 left in order, 1 failed to run, 2 bad command line or\n"
+         "settings.\n";
+}
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
@@ -0,0 +1,58 @@
+#ifndef MASTICPROXY_DAEMON_DAEMON_RINGS_H
+#define MASTICPROXY_DAEMON_DAEMON_RINGS_H
+
+#include "masticproxy/src/Cluster/member_info.h"
+#include "masticproxy/src/Cluster/peer_message.h"
+#include "masticproxy/src/Net/ring_channel.h"
+#include "masticproxy/src/Query/engine_command.h"
+#include "masticproxy/src/Query/engine_event.h"
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace masticproxy {
+
+/// \brief Tells the engine how many VMs share the upstreams' connections.
+struct sharers_changed {
+  unsigned Count = 1;
+};
+
+/// \brief The platform's list of VMs.
+struct vms_listed {
+  std::vector<member_info> Vms;
+};
+
+/// \brief Send a message to the peer at an address.
+struct send_to_peer {
+  std::string PeerAddress;
+  std::shared_ptr<const peer_message> Message;
+};
+
+/// From the control duty to the engine.
+using engine_update = std::variant<catalogue_changed, sharers_changed>;
+/// From the engine to the upstreams duty.
+using upstream_command = std::variant<send_attempt, cancel_attempt>;
+/// From the upstreams duty to the engine.
+using upstream_event = std::variant<attempt_answered, attempt_failed>;
+/// From the platform duty to control.
+using platform_event = std::variant<configuration_push, vms_listed>;
+
+using query_ring = ring_channel<query_arrived>;
+using outcome_ring = ring_channel<deliver_outcome>;
+using update_ring = ring_channel<engine_update>;
+using upstream_command_ring = ring_channel<upstream_command>;
+using upstream_event_ring = ring_channel<upstream_event>;
+using platform_event_ring = ring_channel<platform_event>;
+using peer_inbox_ring = ring_channel<peer_message>;
+using peer_outbox_ring = ring_channel<send_to_peer>;
+
+/// Items in a ring that carries requests or attempts.
+inline constexpr std::size_t RequestRingCapacity = 16384;
+/// Items in a ring that carries control messages.
+inline constexpr std::size_t ControlRingCapacity = 1024;
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -0,0 +1,122 @@
+#include "masticproxy/src/Daemon/engine_thread.h"
+
+#include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Net/event_log.h"
+
+#include <thread>
+
+using namespace masticproxy;
+
+namespace {
+
+struct outcome_name {
+  std::string_view operator()(const answered &) { return "answered"; }
+  std::string_view operator()(const not_run &) { return "not_run"; }
+  std::string_view operator()(const outcome_unknown &) {
+    return "outcome_unknown";
+  }
+  std::string_view operator()(const too_late &) { return "too_late"; }
+  std::string_view operator()(const unknown_profile &) {
+    return "unknown_profile";
+  }
+  std::string_view operator()(const unknown_index &) { return "unknown_index"; }
+};
+
+} // namespace
+
+engine_thread::engine_thread(const clock &Clock, engine_limits Limits,
+                             counter_registry &Counters, event_log &Events)
+    : Engine(Clock, Limits), Counters(Counters), Events(Events),
+      Timer(Loop.context()),
+      Queries(RequestRingCapacity,
+              [this] {
+                Loop.post([this] {
+                  Queries.drain([this](query_arrived E) {
+                    this->Events.add("query_arrived", E.RequestId, E.Profile);
+                    handle(std::move(E));
+                  });
+                });
+              }),
+      UpstreamEvents(RequestRingCapacity,
+                     [this] {
+                       Loop.post([this] {
+                         UpstreamEvents.drain([this](upstream_event E) {
+                           std::visit([this](auto V) { handle(std::move(V)); },
+                                      std::move(E));
+                         });
+                       });
+                     }),
+      Updates(ControlRingCapacity, [this] {
+        Loop.post([this] {
+          Updates.drain([this](engine_update E) {
+            if (auto *Changed = std::get_if<catalogue_changed>(&E))
+              handle(std::move(*Changed));
+            else
+              Engine.setSharers(std::get<sharers_changed>(E).Count);
+          });
+        });
+      }) {}
+
+void engine_thread::connect(upstream_command_ring &NewUpstreams,
+                            outcome_ring &NewCallers) {
+  Upstreams = &NewUpstreams;
+  Callers = &NewCallers;
+}
+
+void engine_thread::leave() {
+  Loop.call([this] { handle(leave_started{}); });
+}
+
+void engine_thread::handle(engine_event Event) {
+  for (engine_command &Command : Engine.handle(std::move(Event)))
+    std::visit([this](auto C) { carryOut(std::move(C)); }, std::move(Command));
+  Running.store(Engine.running());
+  schedule();
+}
+
+void engine_thread::carryOut(const send_attempt &Command) {
+  Counters.get("attempts_total").add();
+  Events.add("attempt_sent", Command.RequestId,
+             Command.Shard + " to " + Command.Upstream);
+  attempt_id Attempt = Command.Attempt;
+  if (Upstreams->push(Command))
+    return;
+  // The ring is full: no byte left, which the engine has to hear like any
+  // other failure, but not from within its own command.
+  Counters.get("upstream_ring_full_total").add();
+  Loop.post([this, Attempt] {
+    handle(attempt_failed{Attempt, attempt_failure::NotSent});
+  });
+}
+
+void engine_thread::carryOut(const cancel_attempt &Command) {
+  Counters.get("cancellations_total").add();
+  // A lost cancellation costs work, not truth: the deadline ends the attempt.
+  Upstreams->push(Command);
+}
+
+void engine_thread::carryOut(const deliver_outcome &Command) {
+  std::string_view Name = std::visit(outcome_name{}, Command.Outcome);
+  Counters.get("outcomes_total", "outcome=\"" + std::string(Name) + "\"").add();
+  Events.add("outcome", Command.RequestId, Name);
+  // The callers' thread never waits for this one, so its ring drains.
+  while (!Callers->push(Command))
+    std::this_thread::yield();
+}
+
+void engine_thread::schedule() {
+  std::optional<time_point> Next = Engine.nextWakeup();
+  if (!Next)
+    return;
+  bool Covered = TimerSetFor && *TimerSetFor <= *Next;
+  if (Covered)
+    return;
+  TimerSetFor = Next;
+  Timer.expires_at(*Next);
+  Timer.async_wait([this](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    TimerSetFor.reset();
+    handle(timer_fired{});
+  });
+}
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -0,0 +1,62 @@
+#ifndef MASTICPROXY_DAEMON_ENGINE_THREAD_H
+#define MASTICPROXY_DAEMON_ENGINE_THREAD_H
+
+#include "masticproxy/src/Daemon/daemon_rings.h"
+#include "masticproxy/src/Daemon/loop_thread.h"
+#include "masticproxy/src/Query/query_engine.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+
+namespace masticproxy {
+
+class counter_registry;
+class event_log;
+
+/// \brief Runs the query engine: carries events in and commands out.
+class engine_thread {
+public:
+  engine_thread(const clock &Clock, engine_limits Limits,
+                counter_registry &Counters, event_log &Events);
+
+  /// Sets the rings that commands go to; before start().
+  void connect(upstream_command_ring &Upstreams, outcome_ring &Callers);
+
+  query_ring &queries() { return Queries; }
+  upstream_event_ring &upstreamEvents() { return UpstreamEvents; }
+  update_ring &updates() { return Updates; }
+
+  void start() { Loop.start(); }
+  void stop() { Loop.stop(); }
+
+  /// Admits no request from here on.
+  void leave();
+
+  /// \returns the requests under way.
+  std::size_t running() const { return Running.load(); }
+
+private:
+  void handle(engine_event Event);
+  void carryOut(const send_attempt &Command);
+  void carryOut(const cancel_attempt &Command);
+  void carryOut(const deliver_outcome &Command);
+  void schedule();
+
+  loop_thread Loop;
+  query_engine Engine;
+  counter_registry &Counters;
+  event_log &Events;
+  boost::asio::steady_timer Timer;
+  std::optional<time_point> TimerSetFor;
+  query_ring Queries;
+  upstream_event_ring UpstreamEvents;
+  update_ring Updates;
+  upstream_command_ring *Upstreams = nullptr;
+  outcome_ring *Callers = nullptr;
+  std::atomic<std::size_t> Running{0};
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -0,0 +1,130 @@
+#include "masticproxy/src/Daemon/entry_daemon.h"
+
+#include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/callers_thread.h"
+#include "masticproxy/src/Daemon/control_actor.h"
+#include "masticproxy/src/Daemon/daemon_log.h"
+#include "masticproxy/src/Daemon/engine_thread.h"
+#include "masticproxy/src/Daemon/peers_thread.h"
+#include "masticproxy/src/Daemon/platform_thread.h"
+#include "masticproxy/src/Daemon/upstreams_thread.h"
+#include "masticproxy/src/Net/event_log.h"
+#include "masticproxy/src/Net/http_platform.h"
+#include "masticproxy/src/Net/os_clock.h"
+
+#include <stop_token>
+#include <thread>
+
+using namespace masticproxy;
+
+namespace {
+
+constexpr std::chrono::milliseconds FinishPoll{10};
+
+struct control_system_config : caf::actor_system_config {
+  control_system_config() {
+    add_message_types<caf::id_block::masticproxy_control>();
+    // Only the detached control actor does work.
+    set("scheduler.max-threads", 1);
+  }
+};
+
+} // namespace
+
+struct entry_daemon::parts {
+  explicit parts(node_settings NewSettings)
+      : Settings(std::move(NewSettings)), Timeline(Clock),
+        Events(Timeline, Settings.TimelineEvents),
+        Platform(Settings.PlatformAddress, Settings.PlatformCallTimeout,
+                 PlatformStop.get_token()),
+        Engine(Clock, {Settings.Queries, 1}, Counters, Events),
+        Upstreams(Clock, Counters), Callers(Settings, Counters, Events, Status),
+        Peers(Settings.PeersAddress, Counters),
+        PlatformDuty(Platform, Settings.PlatformWatchWait, Counters),
+        FromPlatform(ControlRingCapacity, [this] { wakeControl(); }),
+        FromPeers(ControlRingCapacity, [this] { wakeControl(); }),
+        Links{Settings,
+              Clock,
+              Counters,
+              Events,
+              static_cast<std::uint64_t>(Clock.wallTime().count()),
+              FromPlatform,
+              FromPeers,
+              Engine.updates(),
+              Peers.outbox(),
+              Status,
+              [this] { return PlatformDuty.reachable(); }},
+        Actors(ActorConfig) {
+    Engine.connect(Upstreams.commands(), Callers.outcomes());
+    Upstreams.connect(Engine.upstreamEvents());
+    Callers.connect(Engine.queries());
+    Peers.connect(FromPeers);
+    PlatformDuty.connect(FromPlatform);
+  }
+
+  void wakeControl() { caf::anon_send(Control, wake_atom_v); }
+
+  node_settings Settings;
+  os_clock Clock;
+  hybrid_clock Timeline;
+  counter_registry Counters;
+  event_log Events;
+  published<node_status> Status;
+  std::stop_source PlatformStop;
+  http_platform Platform;
+  engine_thread Engine;
+  upstreams_thread Upstreams;
+  callers_thread Callers;
+  peers_thread Peers;
+  platform_thread PlatformDuty;
+  platform_event_ring FromPlatform;
+  peer_inbox_ring FromPeers;
+  control_links Links;
+  control_system_config ActorConfig;
+  caf::actor_system Actors;
+  caf::actor Control;
+};
+
+entry_daemon::entry_daemon(node_settings Settings)
+    : Parts(std::make_unique<parts>(std::move(Settings))) {}
+
+entry_daemon::~entry_daemon() {
+  Parts->PlatformStop.request_stop();
+  Parts->PlatformDuty.stop();
+  Parts->Peers.stop();
+  Parts->Callers.stop();
+  Parts->Engine.stop();
+  Parts->Upstreams.stop();
+  if (Parts->Control)
+    caf::anon_send_exit(Parts->Control, caf::exit_reason::user_shutdown);
+  Parts->Control = nullptr;
+}
+
+void entry_daemon::start() {
+  Parts->Control =
+      Parts->Actors.spawn<control_actor, caf::detached>(Parts->Links);
+  Parts->Engine.start();
+  Parts->Upstreams.start();
+  Parts->Callers.start();
+  Parts->Peers.start();
+  Parts->PlatformDuty.start();
+  logInfo("event=started data_centre=" + Parts->Settings.DataCentre +
+          " callers=" + Parts->Settings.CallersAddress +
+          " peers=" + Parts->Settings.PeersAddress);
+}
+
+void entry_daemon::leave() {
+  logInfo("event=leaving");
+  Parts->Callers.stopBeingReady();
+  caf::anon_send(Parts->Control, leave_atom_v);
+  // The balancer goes on sending requests until it has seen the ready check.
+  std::this_thread::sleep_for(Parts->Settings.BalancerLag);
+  Parts->Callers.stopAccepting();
+  time_point Latest = Parts->Clock.now() + Parts->Settings.FinishWithin;
+  while (Parts->Engine.running() > 0 && Parts->Clock.now() < Latest)
+    std::this_thread::sleep_for(FinishPoll);
+  Parts->Engine.leave();
+  // Outcomes already decided still have to be written to their callers.
+  std::this_thread::sleep_for(FinishPoll);
+  logInfo("event=left unfinished=" + std::to_string(Parts->Engine.running()));
+}
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/loop_thread.cpp
@@ -0,0 +1,35 @@
+#include "masticproxy/src/Daemon/loop_thread.h"
+
+#include <boost/asio/post.hpp>
+
+#include <future>
+
+using namespace masticproxy;
+
+loop_thread::loop_thread()
+    : Context(1), Work(boost::asio::make_work_guard(Context)) {}
+
+loop_thread::~loop_thread() { stop(); }
+
+void loop_thread::start() {
+  Thread = std::thread([this] { Context.run(); });
+}
+
+void loop_thread::post(std::function<void()> Task) {
+  boost::asio::post(Context, std::move(Task));
+}
+
+void loop_thread::call(const std::function<void()> &Task) {
+  std::promise<void> Done;
+  post([&] {
+    Task();
+    Done.set_value();
+  });
+  Done.get_future().wait();
+}
+
+void loop_thread::stop() {
+  Context.stop();
+  if (Thread.joinable())
+    Thread.join();
+}
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/loop_thread.h
@@ -0,0 +1,43 @@
+#ifndef MASTICPROXY_DAEMON_LOOP_THREAD_H
+#define MASTICPROXY_DAEMON_LOOP_THREAD_H
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <thread>
+
+namespace masticproxy {
+
+/// \brief A thread that runs one io_context until stopped.
+class loop_thread {
+public:
+  loop_thread();
+  ~loop_thread();
+  loop_thread(const loop_thread &) = delete;
+  loop_thread &operator=(const loop_thread &) = delete;
+
+  /// \returns the loop that the thread runs.
+  boost::asio::io_context &context() { return Context; }
+
+  /// Starts the thread.
+  void start();
+
+  /// Runs \p Task on the thread.
+  void post(std::function<void()> Task);
+
+  /// Runs \p Task on the thread and waits for its end.
+  void call(const std::function<void()> &Task);
+
+  /// Stops the loop and joins the thread; safe to call twice.
+  void stop();
+
+private:
+  boost::asio::io_context Context;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
+  std::thread Thread;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
@@ -0,0 +1,103 @@
+#include "masticproxy/src/Daemon/outcome_response.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace masticproxy;
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+
+nlohmann::json coverageJson(const coverage &Coverage) {
+  return {{"answered", Coverage.Answered},
+          {"asked", Coverage.Asked},
+          {"share", Coverage.share()}};
+}
+
+/// An upstream's body is JSON where it parses, and a text otherwise.
+nlohmann::json bodyJson(const std::string &Body) {
+  nlohmann::json Parsed =
+      nlohmann::json::parse(Body, nullptr, /*allow_exceptions=*/false);
+  return Parsed.is_discarded() ? nlohmann::json(Body) : Parsed;
+}
+
+http_response jsonResponse(unsigned Status, const nlohmann::json &Root) {
+  http_response Response;
+  Response.Status = Status;
+  Response.Headers.emplace_back("content-type", "application/json");
+  // Foreign bytes that are no UTF-8 must not turn an answer into a failure.
+  Response.Body =
+      Root.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  Response.Body.push_back('\n');
+  return Response;
+}
+
+struct renderer {
+  std::string_view RequestId;
+
+  http_response operator()(const answered &Outcome) const {
+    nlohmann::json Results = nlohmann::json::array();
+    for (const shard_result &Result : Outcome.Results)
+      Results.push_back(
+          {{"shard", Result.Shard}, {"body", bodyJson(Result.Body)}});
+    return jsonResponse(StatusOk, {{"code", "answered"},
+                                   {"request_id", RequestId},
+                                   {"snapshot", Outcome.Snapshot},
+                                   {"coverage", coverageJson(Outcome.Coverage)},
+                                   {"results", Results}});
+  }
+
+  http_response operator()(const not_run &Outcome) const {
+    http_response Response =
+        errorResponse(StatusUnavailable, "not_run", Outcome.Reason, RequestId);
+    Response.Headers.emplace_back("retry-after", "1");
+    return Response;
+  }
+
+  http_response operator()(const outcome_unknown &Outcome) const {
+    return errorResponse(StatusBadGateway, "outcome_unknown", Outcome.Reason,
+                         RequestId);
+  }
+
+  http_response operator()(const too_late &Outcome) const {
+    return jsonResponse(
+        StatusGatewayTimeout,
+        {{"code", "too_late"},
+         {"message", "the wait ended below the profile's coverage"},
+         {"request_id", RequestId},
+         {"coverage", coverageJson(Outcome.Coverage)}});
+  }
+
+  http_response operator()(const unknown_profile &) const {
+    return errorResponse(StatusNotFound, "unknown_profile",
+                         "no such profile is in force; the request was not run",
+                         RequestId);
+  }
+
+  http_response operator()(const unknown_index &) const {
+    return errorResponse(StatusNotFound, "unknown_index",
+                         "no such index is in force; the request was not run",
+                         RequestId);
+  }
+};
+
+} // namespace
+
+http_response masticproxy::toCallerResponse(std::string_view RequestId,
+                                            query_outcome Outcome) {
+  http_response Response = std::visit(renderer{RequestId}, Outcome);
+  Response.Headers.emplace_back("x-request-id", std::string(RequestId));
+  return Response;
+}
+
+http_response masticproxy::errorResponse(unsigned Status, std::string_view Code,
+                                         std::string_view Message,
+                                         std::string_view RequestId) {
+  return jsonResponse(
+      Status,
+      {{"code", Code}, {"message", Message}, {"request_id", RequestId}});
+}
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/peer_receiver.cpp
@@ -0,0 +1,55 @@
+#include "masticproxy/src/Daemon/peer_receiver.h"
+
+#include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Wire/peer_codec.h"
+
+#include <boost/asio/buffer.hpp>
+
+using namespace masticproxy;
+using namespace masticproxy::internal;
+
+peer_receiver::peer_receiver(boost::asio::ip::tcp::socket Socket,
+                             counter_registry &Counters,
+                             std::function<void(const peer_message &)> Receive)
+    : Socket(std::move(Socket)), Counters(Counters),
+      Receive(std::move(Receive)) {}
+
+void peer_receiver::start() {
+  Socket.async_read_some(
+      boost::asio::buffer(Chunk),
+      [Self = shared_from_this()](const boost::system::error_code &Error,
+                                  std::size_t Bytes) {
+        if (Error)
+          return;
+        Self->Counters.get("peer_bytes_received_total")
+            .add(static_cast<std::int64_t>(Bytes));
+        Self->Reader.append({Self->Chunk.data(), Bytes});
+        if (Self->handleFrames())
+          Self->start();
+      });
+}
+
+bool peer_receiver::handleFrames() {
+  while (auto Frame = Reader.next()) {
+    if (auto *Error = std::get_if<frame_error>(&*Frame)) {
+      reject(*Error);
+      return false;
+    }
+    auto Message = decodePeerMessage(std::get<std::string>(*Frame));
+    if (auto *Error = std::get_if<frame_error>(&Message)) {
+      reject(*Error);
+      return false;
+    }
+    Receive(std::get<peer_message>(Message));
+  }
+  return true;
+}
+
+void peer_receiver::reject(frame_error Error) {
+  Counters
+      .get("peer_bad_frames_total",
+           "reason=\"" + std::string(toString(Error)) + "\"")
+      .add();
+  boost::system::error_code Ignored;
+  Socket.close(Ignored);
+}
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/peer_receiver.h
@@ -0,0 +1,42 @@
+#ifndef MASTICPROXY_DAEMON_PEER_RECEIVER_H
+#define MASTICPROXY_DAEMON_PEER_RECEIVER_H
+
+#include "masticproxy/src/Cluster/peer_message.h"
+#include "masticproxy/src/Wire/frame_reader.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+
+namespace masticproxy {
+
+class counter_registry;
+
+namespace internal {
+
+/// \brief A connection that a peer opened; ends at the first bad frame.
+class peer_receiver : public std::enable_shared_from_this<peer_receiver> {
+public:
+  peer_receiver(boost::asio::ip::tcp::socket Socket, counter_registry &Counters,
+                std::function<void(const peer_message &)> Receive);
+
+  /// Starts to read frames.
+  void start();
+
+private:
+  bool handleFrames();
+  void reject(frame_error Error);
+
+  boost::asio::ip::tcp::socket Socket;
+  counter_registry &Counters;
+  std::function<void(const peer_message &)> Receive;
+  frame_reader Reader;
+  std::array<char, 16384> Chunk{};
+};
+
+} // namespace internal
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
@@ -0,0 +1,69 @@
+#include "masticproxy/src/Daemon/peers_thread.h"
+
+#include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/peer_receiver.h"
+#include "masticproxy/src/Daemon/peer_sender.h"
+#include "masticproxy/src/Net/tcp_address.h"
+#include "masticproxy/src/Wire/frame_reader.h"
+#include "masticproxy/src/Wire/peer_codec.h"
+
+#include <stdexcept>
+
+using namespace masticproxy;
+using boost::asio::ip::tcp;
+
+peers_thread::peers_thread(std::string Address, counter_registry &Counters)
+    : Address(std::move(Address)), Counters(Counters), Acceptor(Loop.context()),
+      Outbox(ControlRingCapacity, [this] {
+        Loop.post([this] {
+          Outbox.drain([this](const send_to_peer &Command) { send(Command); });
+        });
+      }) {}
+
+peers_thread::~peers_thread() { stop(); }
+
+void peers_thread::start() {
+  try {
+    tcp::endpoint Endpoint = parseTcpAddress(Address);
+    Acceptor.open(Endpoint.protocol());
+    Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    Acceptor.bind(Endpoint);
+    Acceptor.listen();
+  } catch (const std::exception &Error) {
+    throw std::runtime_error("can't listen at " + Address + ": " +
+                             Error.what());
+  }
+  accept();
+  Loop.start();
+}
+
+void peers_thread::stop() { Loop.stop(); }
+
+void peers_thread::accept() {
+  Acceptor.async_accept(
+      [this](const boost::system::error_code &Error, tcp::socket Socket) {
+        if (!Acceptor.is_open())
+          return;
+        if (!Error)
+          std::make_shared<internal::peer_receiver>(
+              std::move(Socket), Counters,
+              [this](const peer_message &Message) { receive(Message); })
+              ->start();
+        accept();
+      });
+}
+
+void peers_thread::send(const send_to_peer &Command) {
+  std::shared_ptr<internal::peer_sender> &Sender = Senders[Command.PeerAddress];
+  if (!Sender)
+    Sender = std::make_shared<internal::peer_sender>(
+        Loop.context(), Command.PeerAddress, Counters);
+  Sender->send(makeFrame(encodePeerMessage(*Command.Message)));
+}
+
+void peers_thread::receive(const peer_message &Message) {
+  Counters.get("peer_messages_received_total").add();
+  // Every message is sent again in some later form, so a full ring drops it.
+  if (!Control->push(Message))
+    Counters.get("peer_messages_dropped_total").add();
+}
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/peers_thread.h
@@ -0,0 +1,56 @@
+#ifndef MASTICPROXY_DAEMON_PEERS_THREAD_H
+#define MASTICPROXY_DAEMON_PEERS_THREAD_H
+
+#include "masticproxy/src/Daemon/daemon_rings.h"
+#include "masticproxy/src/Daemon/loop_thread.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace masticproxy {
+
+class counter_registry;
+
+namespace internal {
+class peer_receiver;
+class peer_sender;
+} // namespace internal
+
+/// \brief Carries frames between this VM and its peers over TCP.
+///
+/// Each VM opens one connection to each peer for what it says, and reads what
+/// peers say from the connections that they open.
+class peers_thread {
+public:
+  peers_thread(std::string Address, counter_registry &Counters);
+  ~peers_thread();
+
+  /// Sets the ring that received messages go to; before start().
+  void connect(peer_inbox_ring &NewControl) { Control = &NewControl; }
+
+  peer_outbox_ring &outbox() { return Outbox; }
+
+  /// Listens and starts. \throws std::runtime_error where it can't listen.
+  void start();
+  void stop();
+
+private:
+  void accept();
+  void send(const send_to_peer &Command);
+  void receive(const peer_message &Message);
+
+  std::string Address;
+  counter_registry &Counters;
+  loop_thread Loop;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  peer_outbox_ring Outbox;
+  peer_inbox_ring *Control = nullptr;
+  std::map<std::string, std::shared_ptr<internal::peer_sender>> Senders;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/upstream_protocol.cpp
@@ -0,0 +1,63 @@
+#include "masticproxy/src/Daemon/upstream_protocol.h"
+
+using namespace masticproxy;
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusGone = 410;
+constexpr unsigned StatusUnavailable = 503;
+
+/// An upstream states in `x-not-run` that it did not run the request; without
+/// it nothing may be assumed.
+attempt_failure failureOf(const http_response &Response) {
+  std::string_view Reason = findHeader(Response.Headers, "x-not-run");
+  if (Reason.empty())
+    return attempt_failure::Unknown;
+  if (Response.Status == StatusGone)
+    return attempt_failure::SnapshotGone;
+  if (Response.Status == StatusUnavailable && Reason == "draining")
+    return attempt_failure::Draining;
+  return attempt_failure::Refused;
+}
+
+} // namespace
+
+http_request
+masticproxy::toUpstreamRequest(const send_attempt &Attempt,
+                               std::chrono::milliseconds Remaining) {
+  http_request Request;
+  Request.Method = "POST";
+  Request.Target = "/v1/query";
+  Request.Headers = {
+      {"x-request-id", Attempt.RequestId},
+      {"x-attempt", std::to_string(Attempt.Attempt)},
+      {"x-index", Attempt.Index},
+      {"x-snapshot", Attempt.Snapshot},
+      {"x-shard", Attempt.Shard},
+      {"x-deadline-ms", std::to_string(Remaining.count())},
+  };
+  Request.Body = *Attempt.Body;
+  return Request;
+}
+
+http_request masticproxy::toCancelRequest(attempt_id Attempt) {
+  http_request Request;
+  Request.Method = "POST";
+  Request.Target = "/v1/cancel";
+  Request.Headers = {{"x-attempt", std::to_string(Attempt)}};
+  return Request;
+}
+
+std::variant<attempt_answered, attempt_failed>
+masticproxy::fromUpstreamResponse(attempt_id Attempt, http_response Response) {
+  if (Response.Status != StatusOk)
+    return attempt_failed{Attempt, failureOf(Response)};
+  attempt_answered Answer;
+  Answer.Attempt = Attempt;
+  Answer.Result.RequestId = findHeader(Response.Headers, "x-request-id");
+  Answer.Result.Snapshot = findHeader(Response.Headers, "x-snapshot");
+  Answer.Result.Shard = findHeader(Response.Headers, "x-shard");
+  Answer.Result.Body = std::move(Response.Body);
+  return Answer;
+}
--- /dev/null
+++ b/packages/net/masticproxy/src/Net/event_log.h
@@ -0,0 +1,47 @@
+#ifndef MASTICPROXY_NET_EVENT_LOG_H
+#define MASTICPROXY_NET_EVENT_LOG_H
+
+#include "masticproxy/src/Net/hybrid_clock.h"
+
+#include <boost/circular_buffer.hpp>
+
+#include <cstddef>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace masticproxy {
+
+/// \brief One event of the time line.
+struct timeline_event {
+  hybrid_time At;
+  std::string Kind;
+  /// Request that the event belongs to; may be empty.
+  std::string RequestId;
+  std::string Detail;
+};
+
+/// \brief The newest events of one process; older ones give way.
+class event_log {
+public:
+  /// Keeps up to \p Capacity events.
+  event_log(hybrid_clock &Clock, std::size_t Capacity);
+
+  /// Adds an event that happens now.
+  void add(std::string_view Kind, std::string_view RequestId,
+           std::string_view Detail);
+
+  /// \returns the kept events, oldest first; those of \p RequestId only, if it
+  /// is not empty.
+  std::vector<timeline_event> events(std::string_view RequestId) const;
+
+private:
+  hybrid_clock &Clock;
+  mutable std::mutex Mutex;
+  boost::circular_buffer<timeline_event> Events;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/net/masticproxy/src/Net/http_convert.h
@@ -0,0 +1,46 @@
+#ifndef MASTICPROXY_NET_HTTP_CONVERT_H
+#define MASTICPROXY_NET_HTTP_CONVERT_H
+
+#include "masticproxy/src/Net/http_message.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+namespace masticproxy::internal {
+
+using beast_request =
+    boost::beast::http::request<boost::beast::http::string_body>;
+using beast_response =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+/// Copies header fields out of a Beast message, names in lower case.
+template <typename Message> http_headers headersOf(const Message &From) {
+  http_headers Headers;
+  for (const auto &Field : From) {
+    std::string Name(Field.name_string());
+    std::transform(Name.begin(), Name.end(), Name.begin(), [](unsigned char C) {
+      return static_cast<char>(std::tolower(C));
+    });
+    Headers.emplace_back(std::move(Name), std::string(Field.value()));
+  }
+  return Headers;
+}
+
+/// \returns the Beast form of \p From.
+beast_request toBeast(http_request From);
+
+/// \returns the Beast form of \p From.
+beast_response toBeast(http_response From, bool KeepAlive);
+
+/// \returns the plain form of \p From.
+http_request fromBeast(beast_request From);
+
+/// \returns the plain form of \p From.
+http_response fromBeast(beast_response From);
+
+} // namespace masticproxy::internal
+
+#endif
--- /dev/null
+++ b/packages/net/masticproxy/src/Net/http_server.cpp
@@ -0,0 +1,95 @@
+#include "masticproxy/src/Net/http_server.h"
+
+#include "masticproxy/src/Net/http_session.h"
+#include "masticproxy/src/Net/tcp_address.h"
+
+#include <list>
+#include <stdexcept>
+
+using namespace masticproxy;
+using boost::asio::ip::tcp;
+
+/// Shared with the accept handler, which may outlive the server object.
+struct http_server::state : std::enable_shared_from_this<state> {
+  state(boost::asio::io_context &Context, http_server_limits Limits,
+        handler Handler)
+      : Acceptor(Context), Limits(Limits), Handler(std::move(Handler)) {}
+
+  void accept() {
+    Acceptor.async_accept(
+        [Self = shared_from_this()](const boost::system::error_code &Error,
+                                    tcp::socket Socket) {
+          if (!Self->Acceptor.is_open())
+            return;
+          if (!Error)
+            Self->add(std::move(Socket));
+          Self->accept();
+        });
+  }
+
+  void add(tcp::socket Socket) {
+    if (count() >= Limits.Connections)
+      return;
+    auto Session = std::make_shared<internal::http_session>(std::move(Socket),
+                                                            Limits, Handler);
+    Sessions.push_back(Session);
+    Session->start();
+  }
+
+  std::size_t count() {
+    Sessions.remove_if([](const auto &Session) { return Session.expired(); });
+    return Sessions.size();
+  }
+
+  template <typename Action> void each(Action Do) {
+    for (const auto &Weak : Sessions)
+      if (auto Session = Weak.lock())
+        Do(*Session);
+  }
+
+  tcp::acceptor Acceptor;
+  http_server_limits Limits;
+  handler Handler;
+  std::list<std::weak_ptr<internal::http_session>> Sessions;
+};
+
+http_server::http_server(boost::asio::io_context &Context,
+                         std::string_view Address, http_server_limits Limits,
+                         handler Handler)
+    : State(std::make_shared<state>(Context, Limits, std::move(Handler))) {
+  try {
+    tcp::endpoint Endpoint = parseTcpAddress(Address);
+    State->Acceptor.open(Endpoint.protocol());
+    State->Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    State->Acceptor.bind(Endpoint);
+    State->Acceptor.listen();
+  } catch (const std::exception &Error) {
+    throw std::runtime_error("can't listen at " + std::string(Address) + ": " +
+                             Error.what());
+  }
+  State->accept();
+}
+
+http_server::~http_server() { closeAll(); }
+
+void http_server::stopAccepting() {
+  boost::system::error_code Ignored;
+  State->Acceptor.close(Ignored);
+  State->each([](internal::http_session &S) { S.closeWhenIdle(); });
+}
+
+void http_server::closeAll() {
+  boost::system::error_code Ignored;
+  State->Acceptor.close(Ignored);
+  State->each([](internal::http_session &S) { S.close(); });
+}
+
+void http_server::setSetupDelay(std::chrono::milliseconds Delay) {
+  State->Limits.SetupDelay = Delay;
+}
+
+std::uint16_t http_server::port() const {
+  return State->Acceptor.local_endpoint().port();
+}
+
+std::size_t http_server::connections() const { return State->count(); }
--- /dev/null
+++ b/packages/net/masticproxy/src/Net/http_server.h
@@ -0,0 +1,71 @@
+#ifndef MASTICPROXY_NET_HTTP_SERVER_H
+#define MASTICPROXY_NET_HTTP_SERVER_H
+
+#include "masticproxy/src/Net/http_message.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace masticproxy {
+
+/// \brief Bounds of an HTTP server.
+struct http_server_limits {
+  /// Longest body of a request, in bytes.
+  std::size_t BodyBytes = 65536;
+  /// Connections open at a time; one more is closed at once.
+  std::size_t Connections = 4096;
+  /// Silence after which a connection is closed.
+  std::chrono::milliseconds IdleTimeout{60000};
+  /// Time that a new connection waits before it is read.
+  std::chrono::milliseconds SetupDelay{0};
+};
+
+/// \brief An HTTP/1.1 server on one thread's io_context.
+///
+/// Bad requests (malformed, too large) are answered here; the handler sees
+/// well-formed ones only.
+class http_server {
+public:
+  /// Answers one request; callable once, on the server's thread.
+  using responder = std::function<void(http_response)>;
+  /// Called with each request.
+  using handler = std::function<void(http_request, responder)>;
+
+  /// Listens at \p Address (IP number and port; port 0 lets the system choose).
+  /// \throws std::runtime_error where it can't.
+  http_server(boost::asio::io_context &Context, std::string_view Address,
+              http_server_limits Limits, handler Handler);
+  ~http_server();
+  http_server(const http_server &) = delete;
+  http_server &operator=(const http_server &) = delete;
+
+  /// Takes no further connection and lets the open ones end after the
+  /// response that is due.
+  void stopAccepting();
+
+  /// Closes all connections at once.
+  void closeAll();
+
+  /// Sets the delay of new connections.
+  void setSetupDelay(std::chrono::milliseconds Delay);
+
+  /// \returns the port it listens on.
+  std::uint16_t port() const;
+
+  /// \returns the connections open now.
+  std::size_t connections() const;
+
+private:
+  struct state;
+  std::shared_ptr<state> State;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -0,0 +1,54 @@
+#ifndef MASTICPROXY_NET_HTTP_SESSION_H
+#define MASTICPROXY_NET_HTTP_SESSION_H
+
+#include "masticproxy/src/Net/http_convert.h"
+#include "masticproxy/src/Net/http_server.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace masticproxy::internal {
+
+/// \brief One connection of an http_server.
+class http_session : public std::enable_shared_from_this<http_session> {
+public:
+  http_session(boost::asio::ip::tcp::socket Socket,
+               const http_server_limits &Limits, http_server::handler Handler);
+  ~http_session();
+
+  /// Starts to read requests, after the limits' set-up delay.
+  void start();
+
+  /// Closes the connection after the response that is due, or now if none is.
+  void closeWhenIdle();
+
+  /// Closes the connection at once.
+  void close();
+
+private:
+  void read();
+  void onRead(const boost::system::error_code &Error);
+  void respond(http_response Response);
+  void reject(unsigned Status, std::string_view Code);
+
+  boost::beast::tcp_stream Stream;
+  http_server_limits Limits;
+  http_server::handler Handler;
+  boost::beast::flat_buffer Buffer;
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::string_body>>
+      Parser;
+  std::optional<beast_response> Out;
+  boost::asio::steady_timer SetupTimer;
+  bool Busy = false;
+  bool Closing = false;
+};
+
+} // namespace masticproxy::internal
+
+#endif
--- /dev/null
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.cpp
@@ -0,0 +1,134 @@
+#include "masticproxy/src/Wire/peer_codec.h"
+
+#include "masticproxy/generated/peer_generated.h"
+
+using namespace masticproxy;
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+std::string text(const flatbuffers::String *Text) {
+  return Text ? Text->str() : std::string();
+}
+
+Offset<wire::Member> packMember(FlatBufferBuilder &Out, const member_info &M) {
+  return wire::CreateMember(Out, Out.CreateString(M.Name),
+                            Out.CreateString(M.DataCentre),
+                            Out.CreateString(M.PeerAddress), M.Incarnation,
+                            static_cast<std::uint8_t>(M.State));
+}
+
+member_info unpackMember(const wire::Member &M) {
+  member_info Info;
+  Info.Name = text(M.name());
+  Info.DataCentre = text(M.data_centre());
+  Info.PeerAddress = text(M.peer_address());
+  Info.Incarnation = M.incarnation();
+  Info.State = static_cast<member_state>(M.state());
+  return Info;
+}
+
+bool isKnown(member_state State) {
+  return static_cast<std::uint8_t>(State) <=
+         static_cast<std::uint8_t>(member_state::Dead);
+}
+
+/// Packs each kind of message; \returns its union type and offset.
+struct packer {
+  FlatBufferBuilder &Out;
+
+  std::pair<wire::PeerBody, Offset<void>> operator()(const heartbeat &M) {
+    std::vector<Offset<wire::Member>> Members;
+    for (const member_info &Member : M.Members)
+      Members.push_back(packMember(Out, Member));
+    auto Sender = packMember(Out, M.Sender);
+    auto Packed = wire::CreateHeartbeat(Out, Sender, M.Sequence,
+                                        Out.CreateVector(Members),
+                                        M.ConfigurationRevision);
+    return {wire::PeerBody::Heartbeat, Packed.Union()};
+  }
+
+  std::pair<wire::PeerBody, Offset<void>>
+  operator()(const configuration_push &M) {
+    std::vector<Offset<wire::ConfigurationRecord>> Records;
+    for (const configuration_record &R : M.Records)
+      Records.push_back(wire::CreateConfigurationRecord(
+          Out, Out.CreateString(R.Kind), Out.CreateString(R.Name), R.Version,
+          R.Deleted, Out.CreateString(R.Value)));
+    auto Packed = wire::CreateConfigurationPush(Out, M.Revision,
+                                                Out.CreateVector(Records));
+    return {wire::PeerBody::ConfigurationPush, Packed.Union()};
+  }
+
+  std::pair<wire::PeerBody, Offset<void>>
+  operator()(const configuration_pull &M) {
+    auto Packed = wire::CreateConfigurationPull(Out, M.AfterRevision,
+                                                Out.CreateString(M.ReplyTo));
+    return {wire::PeerBody::ConfigurationPull, Packed.Union()};
+  }
+};
+
+std::variant<peer_message, frame_error> unpack(const wire::Heartbeat &M) {
+  heartbeat Result;
+  Result.Sender = unpackMember(*M.sender());
+  Result.Sequence = M.sequence();
+  Result.ConfigurationRevision = M.configuration_revision();
+  bool Valid = isKnown(Result.Sender.State);
+  if (M.members())
+    for (const wire::Member *Member : *M.members()) {
+      Result.Members.push_back(unpackMember(*Member));
+      Valid = Valid && isKnown(Result.Members.back().State);
+    }
+  if (!Valid)
+    return frame_error::Malformed;
+  return peer_message(std::move(Result));
+}
+
+std::variant<peer_message, frame_error>
+unpack(const wire::ConfigurationPush &M) {
+  configuration_push Result;
+  Result.Revision = M.revision();
+  if (M.records())
+    for (const wire::ConfigurationRecord *R : *M.records())
+      Result.Records.push_back({text(R->kind()), text(R->name()), R->version(),
+                                R->deleted(), text(R->value())});
+  return peer_message(std::move(Result));
+}
+
+std::variant<peer_message, frame_error>
+unpack(const wire::ConfigurationPull &M) {
+  return peer_message(
+      configuration_pull{M.after_revision(), text(M.reply_to())});
+}
+
+} // namespace
+
+std::string masticproxy::encodePeerMessage(const peer_message &Message) {
+  FlatBufferBuilder Out;
+  auto [Type, Body] = std::visit(packer{Out}, Message);
+  Out.Finish(wire::CreatePeerEnvelope(Out, Type, Body));
+  return std::string(reinterpret_cast<const char *>(Out.GetBufferPointer()),
+                     Out.GetSize());
+}
+
+std::variant<peer_message, frame_error>
+masticproxy::decodePeerMessage(std::string_view Payload) {
+  const auto *Bytes = reinterpret_cast<const std::uint8_t *>(Payload.data());
+  flatbuffers::Verifier Verifier(Bytes, Payload.size());
+  if (!wire::VerifyPeerEnvelopeBuffer(Verifier))
+    return frame_error::Malformed;
+  const wire::PeerEnvelope *Envelope = wire::GetPeerEnvelope(Bytes);
+  switch (Envelope->body_type()) {
+  case wire::PeerBody::Heartbeat:
+    return unpack(*Envelope->body_as_Heartbeat());
+  case wire::PeerBody::ConfigurationPush:
+    return unpack(*Envelope->body_as_ConfigurationPush());
+  case wire::PeerBody::ConfigurationPull:
+    return unpack(*Envelope->body_as_ConfigurationPull());
+  case wire::PeerBody::NONE:
+    break;
+  }
+  return frame_error::Malformed;
+}
