--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -21,9 +21,10 @@
 } // namespace
 
 query_engine::query_engine(const clock &Clock, engine_limits Limits)
-    : Clock(Clock), Limits(Limits),
+    : Clock(Clock), Limits(std::move(Limits)),
       Catalogue(std::make_shared<const query_catalogue>()) {
-  Upstreams.setSharers(Limits.Sharers);
+  Upstreams.setDataCentre(this->Limits.DataCentre);
+  Upstreams.setSharers(this->Limits.Sharers);
 }
 
 query_engine::~query_engine() = default;
@@ -56,8 +57,8 @@
 
   query_ticket Ticket = Event.Ticket;
   time_point Deadline = Clock.now() + Profile->Wait;
-  auto [Position, Added] = Runs.try_emplace(Ticket, std::move(Event), *Profile,
-                                            Index->Current, Deadline);
+  query_run NewRun(std::move(Event), *Profile, Index->Current, Deadline);
+  auto [Position, Added] = Runs.emplace(Ticket, std::move(NewRun));
   if (!Added)
     return;
   Deadlines.emplace(Deadline, Ticket);
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -24,6 +24,8 @@
   std::size_t Queries = 1024;
   /// VMs of the data centre, which share each upstream's connections.
   unsigned Sharers = 1;
+  /// Data centre of this VM; upstreams of others are not spoken to.
+  std::string DataCentre;
 };
 
 /// \brief Decides all that happens to the requests of one VM.
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -14,6 +14,8 @@
   for (const replica &Candidate : Replicas) {
     if (std::find(Tried.begin(), Tried.end(), Candidate.Address) != Tried.end())
       continue;
+    if (Candidate.DataCentre != DataCentre)
+      continue;
     auto Found = States.find(Candidate.Address);
     unsigned Load = 0;
     if (Found != States.end()) {
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace masticproxy {
 
@@ -16,6 +17,9 @@
 /// it has open there.
 class upstream_table {
 public:
+  /// Sets the data centre whose upstreams may be chosen.
+  void setDataCentre(std::string Name) { DataCentre = std::move(Name); }
+
   /// Sets how many VMs of the data centre share each upstream's connections.
   void setSharers(unsigned Count) { Sharers = Count == 0 ? 1 : Count; }
 
@@ -45,6 +49,7 @@
 
   unsigned placesAt(const replica &Replica) const;
 
+  std::string DataCentre;
   unsigned Sharers = 1;
   std::map<std::string, upstream_state, std::less<>> States;
 };
--- /dev/null
+++ b/packages/core/tests/query_engine_test.cpp
@@ -0,0 +1,151 @@
+/// \file
+/// The query engine, event by event.
+
+#include "manual_clock.h"
+#include "masticproxy/Query"
+
+#include <criterion/criterion.h>
+
+using namespace masticproxy;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds Wait{100};
+
+/// An engine with one index of two shards of two replicas.
+struct engine_fixture {
+  explicit engine_fixture(bool MayRepeat, double Coverage = 1.0) {
+    setCatalogue("s1", MayRepeat, Coverage);
+  }
+
+  void setCatalogue(const std::string &Snapshot, bool MayRepeat,
+                    double Coverage) {
+    auto Map = std::make_shared<index_snapshot>();
+    Map->Id = Snapshot;
+    Map->Shards = {{"0", {{"a", "dc1", 1, 4}, {"b", "dc1", 1, 4}}},
+                   {"1", {{"c", "dc1", 1, 4}, {"d", "dc1", 1, 4}}}};
+    auto Catalogue = std::make_shared<query_catalogue>();
+    Catalogue->setProfile({"p", Wait, Coverage, MayRepeat});
+    Catalogue->setIndex({"i", Map});
+    Engine.handle(catalogue_changed{Catalogue});
+  }
+
+  std::vector<engine_command> arrive(query_ticket Ticket,
+                                     const std::string &Profile = "p") {
+    return Engine.handle(query_arrived{Ticket, "r", Profile, "i", "{}"});
+  }
+
+  std::vector<engine_command> answer(const send_attempt &Attempt) {
+    return Engine.handle(attempt_answered{
+        Attempt.Attempt,
+        {Attempt.RequestId, Attempt.Snapshot, Attempt.Shard, "body"}});
+  }
+
+  manual_clock Clock;
+  query_engine Engine{Clock, {16, 1, "dc1"}};
+};
+
+std::vector<send_attempt> attemptsIn(const std::vector<engine_command> &All) {
+  std::vector<send_attempt> Found;
+  for (const engine_command &Command : All)
+    if (auto *Attempt = std::get_if<send_attempt>(&Command))
+      Found.push_back(*Attempt);
+  return Found;
+}
+
+template <typename Outcome>
+bool delivers(const std::vector<engine_command> &All) {
+  for (const engine_command &Command : All)
+    if (auto *Delivered = std::get_if<deliver_outcome>(&Command))
+      return std::holds_alternative<Outcome>(Delivered->Outcome);
+  return false;
+}
+
+} // namespace
+
+Test(query_engine, answers_when_every_shard_has) {
+  engine_fixture F(/*MayRepeat=*/true);
+  auto Attempts = attemptsIn(F.arrive(1));
+  cr_assert(Attempts.size() == 2);
+  cr_assert_not(delivers<answered>(F.answer(Attempts[0])));
+  cr_assert(delivers<answered>(F.answer(Attempts[1])));
+  cr_assert(F.Engine.running() == 0);
+}
+
+Test(query_engine, names_an_unknown_profile_without_running) {
+  engine_fixture F(/*MayRepeat=*/true);
+  auto Commands = F.arrive(1, "none");
+  cr_assert(delivers<unknown_profile>(Commands));
+  cr_assert(attemptsIn(Commands).empty());
+}
+
+Test(query_engine, retries_an_idempotent_request_on_another_replica) {
+  engine_fixture F(/*MayRepeat=*/true);
+  auto Attempts = attemptsIn(F.arrive(1));
+  auto Retry = attemptsIn(F.Engine.handle(
+      attempt_failed{Attempts[0].Attempt, attempt_failure::Unknown}));
+  cr_assert(Retry.size() == 1);
+  cr_assert(Retry[0].Shard == Attempts[0].Shard);
+  cr_assert(Retry[0].Upstream != Attempts[0].Upstream);
+}
+
+Test(query_engine, never_sends_a_non_idempotent_shard_twice) {
+  engine_fixture F(/*MayRepeat=*/false);
+  auto Attempts = attemptsIn(F.arrive(1));
+  auto After = F.Engine.handle(
+      attempt_failed{Attempts[0].Attempt, attempt_failure::Unknown});
+  cr_assert(attemptsIn(After).empty());
+  cr_assert(delivers<outcome_unknown>(After));
+}
+
+Test(query_engine, sends_a_non_idempotent_shard_again_when_it_was_refused) {
+  engine_fixture F(/*MayRepeat=*/false);
+  auto Attempts = attemptsIn(F.arrive(1));
+  auto After = F.Engine.handle(
+      attempt_failed{Attempts[0].Attempt, attempt_failure::Refused});
+  cr_assert(attemptsIn(After).size() == 1);
+}
+
+Test(query_engine, says_not_run_only_when_nothing_ran) {
+  engine_fixture F(/*MayRepeat=*/false);
+  auto Attempts = attemptsIn(F.arrive(1));
+  for (const send_attempt &Attempt : Attempts) {
+    auto Next = attemptsIn(F.Engine.handle(
+        attempt_failed{Attempt.Attempt, attempt_failure::Refused}));
+    F.Engine.handle(attempt_failed{Next[0].Attempt, attempt_failure::Refused});
+  }
+  F.Clock.advance(Wait);
+  cr_assert(delivers<not_run>(F.Engine.handle(timer_fired{})));
+}
+
+Test(query_engine, states_true_coverage_when_the_wait_is_over) {
+  engine_fixture F(/*MayRepeat=*/true, /*Coverage=*/0.5);
+  auto Attempts = attemptsIn(F.arrive(1));
+  F.answer(Attempts[0]);
+  F.Clock.advance(Wait);
+  auto Commands = F.Engine.handle(timer_fired{});
+  auto &Outcome =
+      std::get<answered>(std::get<deliver_outcome>(Commands[0]).Outcome);
+  cr_assert(Outcome.Coverage == (coverage{1, 2}));
+  cr_assert(Outcome.Results.size() == 1);
+}
+
+Test(query_engine, starts_over_on_the_new_snapshot) {
+  engine_fixture F(/*MayRepeat=*/true);
+  auto Attempts = attemptsIn(F.arrive(1));
+  F.answer(Attempts[0]);
+  F.setCatalogue("s2", /*MayRepeat=*/true, 1.0);
+  auto Again = attemptsIn(F.Engine.handle(
+      attempt_failed{Attempts[1].Attempt, attempt_failure::SnapshotGone}));
+  cr_assert(Again.size() == 2);
+  cr_assert(Again[0].Snapshot == "s2");
+  F.answer(Again[0]);
+  cr_assert(delivers<answered>(F.answer(Again[1])));
+}
+
+Test(query_engine, admits_nothing_once_it_leaves) {
+  engine_fixture F(/*MayRepeat=*/true);
+  F.Engine.handle(leave_started{});
+  cr_assert(delivers<not_run>(F.arrive(1)));
+}
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -73,7 +73,7 @@
   Limits.Connections = Settings.CallerConnections;
   Server = std::make_unique<http_server>(
       Loop.context(), Settings.CallersAddress, Limits,
-      [this](http_request Request, http_server::responder Respond) {
+      [this](http_request Request, const http_server::responder &Respond) {
         handle(std::move(Request), Respond);
       });
   Loop.start();
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -26,7 +26,7 @@
 
 engine_thread::engine_thread(const clock &Clock, engine_limits Limits,
                              counter_registry &Counters, event_log &Events)
-    : Engine(Clock, Limits), Counters(Counters), Events(Events),
+    : Engine(Clock, std::move(Limits)), Counters(Counters), Events(Events),
       Timer(Loop.context()),
       Queries(RequestRingCapacity,
               [this] {
--- /dev/null
+++ b/packages/testing/masticproxy/src/Harness/child_process.cpp
@@ -0,0 +1,81 @@
+#include "masticproxy/src/Harness/child_process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+using namespace masticproxy;
+
+namespace {
+
+constexpr std::chrono::milliseconds ExitPoll{5};
+constexpr int SignalExitBase = 128;
+constexpr int ExecFailed = 127;
+
+[[noreturn]] void becomeCommand(std::vector<char *> &Args,
+                                const std::string &LogFile) {
+  // A test that is killed must leave no process behind.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  int Log = open(LogFile.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC,
+                 0644); // NOLINT(cppcoreguidelines-pro-type-vararg)
+  dup2(Log, STDOUT_FILENO);
+  dup2(Log, STDERR_FILENO);
+  sigset_t None;
+  sigemptyset(&None);
+  sigprocmask(SIG_SETMASK, &None, nullptr);
+  execv(Args.front(), Args.data());
+  _exit(ExecFailed);
+}
+
+} // namespace
+
+child_process::child_process(const std::vector<std::string> &Command,
+                             const std::string &LogFile) {
+  std::vector<char *> Args;
+  Args.reserve(Command.size() + 1);
+  for (const std::string &Word : Command)
+    Args.push_back(const_cast<char *>(Word.c_str()));
+  Args.push_back(nullptr);
+  Pid = fork();
+  if (Pid < 0)
+    throw std::runtime_error("can't start " + Command.front());
+  if (Pid == 0)
+    becomeCommand(Args, LogFile);
+}
+
+child_process::~child_process() {
+  if (Pid < 0 || ExitCode)
+    return;
+  kill(Pid, SIGKILL);
+  waitpid(Pid, nullptr, 0);
+}
+
+child_process::child_process(child_process &&Other) noexcept
+    : Pid(Other.Pid), ExitCode(Other.ExitCode) {
+  Other.Pid = -1;
+}
+
+void child_process::signal(int Number) const {
+  if (!ExitCode)
+    kill(Pid, Number);
+}
+
+std::optional<int> child_process::waitForExit(std::chrono::milliseconds Wait) {
+  auto Latest = std::chrono::steady_clock::now() + Wait;
+  while (!ExitCode) {
+    int Status = 0;
+    if (waitpid(Pid, &Status, WNOHANG) == Pid)
+      ExitCode = WIFEXITED(Status) ? WEXITSTATUS(Status)
+                                   : SignalExitBase + WTERMSIG(Status);
+    else if (std::chrono::steady_clock::now() >= Latest)
+      return std::nullopt;
+    else
+      std::this_thread::sleep_for(ExitPoll);
+  }
+  return ExitCode;
+}
--- /dev/null
+++ b/tools/check.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# All that has to hold before a change lands: format, lint, tests, and the same
+# tests under sanitizers. Expects build/release to be built.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+JOBS=${JOBS:-5}
+
+step() { printf '\n== %s\n' "$*"; }
+
+step "format"
+./tools/check_format.sh
+
+step "lint"
+./tools/check_lint.sh build/release
+
+step "known red tests"
+RED=$(./tools/known_red.sh)
+
+run_tests() {
+  BUILD=$1
+  shift
+  ctest --test-dir "$BUILD" --output-on-failure -j "$JOBS" ${RED:+-E "$RED"} "$@"
+}
+
+step "tests"
+run_tests build/release
+
+step "tests under address and undefined-behaviour sanitizers"
+cmake -S . -B build/asan -G Ninja -DMASTICPROXY_SANITIZE=address,undefined >/dev/null
+cmake --build build/asan
+run_tests build/asan
+
+step "threaded tests under the thread sanitizer"
+cmake -S . -B build/tsan -G Ninja -DMASTICPROXY_SANITIZE=thread >/dev/null
+cmake --build build/tsan
+run_tests build/tsan -L threaded
+
+step "done"
--- a/tools/check_lint.sh
+++ b/tools/check_lint.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BUILD=${1:-build/release}
-STAMPS=$BUILD/lint
+STAMPS=${LINT_CACHE:-build/lint}
 mkdir -p "$STAMPS"
 export BUILD STAMPS
 CONFIG=$(sha1sum .clang-tidy | cut -c1-40)
--- a/tools/compile_command.py
+++ b/tools/compile_command.py
@@ -12,10 +12,11 @@
     if os.path.abspath(entry["file"]) != source:
         continue
     words = shlex.split(entry["command"])
-    while words and os.path.basename(words[0]) == "ccache":
+    while os.path.basename(words[0]) in ("env", "ccache") or "=" in words[0]:
         words.pop(0)
     words[words.index("-o") + 1] = "-"
     words[words.index("-c")] = "-E"
+    words.insert(1, "-P")
     if "-MF" in words:
         words[words.index("-MF") + 1] = "/dev/null"
     print("cd " + shlex.quote(entry["directory"]) + " && " + shlex.join(words))
