--- a/tools/check_lint.sh
+++ b/tools/check_lint.sh
@@ -26,4 +26,4 @@
 }
 export -f lint_one
 git ls-files --cached --others --exclude-standard 'packages/*.cpp' 'bench/*.cpp' |
-  xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
+  xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
