--- a/tools/check.sh
+++ b/tools/check.sh
@@ -10,6 +10,9 @@
 step "format"
 ./tools/check_format.sh
 
+step "capacity page"
+python3 tools/capacity.py --check
+
 step "lint"
 ./tools/check_lint.sh build/release
 
