End callers' connections in order when a VM leaves

Ruled out: closing idle connections at once, which cuts a request that is on its way. Change: from SIGTERM on, every response ends its connection; the process ends when no connection is open, at the latest after leave.finish_within. Before: a fixed sleep stood for the writing.

--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -85,10 +85,21 @@
   Server.reset();
 }
 
+void callers_thread::stopBeingReady() {
+  Ready.store(false);
+  Loop.call([this] { Server->endConnectionsAfterResponse(); });
+}
+
 void callers_thread::stopAccepting() {
   Loop.call([this] { Server->stopAccepting(); });
 }
 
+std::size_t callers_thread::connections() {
+  std::size_t Count = 0;
+  Loop.call([&] { Count = Server->connections(); });
+  return Count;
+}
+
 void callers_thread::handle(http_request Request,
                             const http_server::responder &Respond) {
   bool IsQuery = !indexIn(targetPath(Request.Target)).empty();
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.h
@@ -35,12 +35,16 @@
   void start();
   void stop();
 
-  /// Fails the ready check, so that the balancer sends no more requests.
-  void stopBeingReady() { Ready.store(false); }
+  /// Fails the ready check, so that the balancer sends no more requests, and
+  /// ends each connection after its next response.
+  void stopBeingReady();
 
   /// Takes no further connection; open ones end after the response due.
   void stopAccepting();
 
+  /// \returns the connections still open.
+  std::size_t connections();
+
 private:
   void handle(http_request Request, const http_server::responder &Respond);
   void handleQuery(http_request Request, const http_server::responder &Respond);
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -124,10 +124,9 @@
   std::this_thread::sleep_for(Parts->Settings.BalancerLag);
   Parts->Callers.stopAccepting();
   time_point Latest = Parts->Clock.now() + Parts->Settings.FinishWithin;
-  while (Parts->Engine.running() > 0 && Parts->Clock.now() < Latest)
+  // A connection that is open now is owed the response to its last request.
+  while (Parts->Callers.connections() > 0 && Parts->Clock.now() < Latest)
     std::this_thread::sleep_for(FinishPoll);
   Parts->Engine.leave();
-  // Outcomes already decided still have to be written to their callers.
-  std::this_thread::sleep_for(FinishPoll);
   logInfo("event=left unfinished=" + std::to_string(Parts->Engine.running()));
 }
--- a/packages/net/masticproxy/src/Net/http_server.cpp
+++ b/packages/net/masticproxy/src/Net/http_server.cpp
@@ -33,6 +33,8 @@
     auto Session = std::make_shared<internal::http_session>(std::move(Socket),
                                                             Limits, Handler);
     Sessions.push_back(Session);
+    if (EndAfterResponse)
+      Session->endAfterResponse();
     Session->start();
   }
 
@@ -48,6 +50,7 @@
   }
 
   tcp::acceptor Acceptor;
+  bool EndAfterResponse = false;
   http_server_limits Limits;
   handler Handler;
   std::list<std::weak_ptr<internal::http_session>> Sessions;
@@ -72,6 +75,11 @@
 
 http_server::~http_server() { closeAll(); }
 
+void http_server::endConnectionsAfterResponse() {
+  State->EndAfterResponse = true;
+  State->each([](internal::http_session &S) { S.endAfterResponse(); });
+}
+
 void http_server::stopAccepting() {
   boost::system::error_code Ignored;
   State->Acceptor.close(Ignored);
--- a/packages/net/masticproxy/src/Net/http_server.h
+++ b/packages/net/masticproxy/src/Net/http_server.h
@@ -45,6 +45,9 @@
   http_server(const http_server &) = delete;
   http_server &operator=(const http_server &) = delete;
 
+  /// Goes on serving, and ends each connection after its next response.
+  void endConnectionsAfterResponse();
+
   /// Takes no further connection and lets the open ones end after the
   /// response that is due.
   void stopAccepting();
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -24,6 +24,9 @@
   /// Starts to read requests, after the limits' set-up delay.
   void start();
 
+  /// Ends the connection after its next response.
+  void endAfterResponse() { Closing = true; }
+
   /// Closes the connection after the response that is due, or now if none is.
   void closeWhenIdle();
 
