--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -94,8 +94,8 @@
   if (query_run *Run = findRun(*Record)) {
     Run->attemptFailed(Record->Shard, Event.Attempt, Event.Failure);
     if (Event.Failure == attempt_failure::SnapshotGone)
-      restart(Record->Ticket, *Run);
-    else
+      Run->snapshotGone();
+    if (!restartIfDue(Record->Ticket, *Run))
       startShard(Record->Ticket, *Run, Record->Shard);
     finishIfOver(Record->Ticket);
   }
@@ -104,6 +104,8 @@
 
 void query_engine::on(catalogue_changed Event) {
   Catalogue = std::move(Event.Catalogue);
+  for (auto &[Ticket, Run] : Runs)
+    restartIfDue(Ticket, Run);
 }
 
 void query_engine::on(timer_fired) {
@@ -172,21 +174,22 @@
   return Current ? &Found->second : nullptr;
 }
 
-void query_engine::restart(query_ticket Ticket, query_run &Run) {
+bool query_engine::restartIfDue(query_ticket Ticket, query_run &Run) {
   const index_map *Index = Catalogue->findIndex(Run.indexName());
   bool Newer = Index && Index->Current->Id != Run.snapshot().Id;
-  if (!Newer || !Run.restartAllowed())
-    return;
+  if (!Newer || !Run.awaitsSnapshot())
+    return false;
   cancelOpen(Run);
   Run.restartOn(Index->Current);
   startShards(Ticket, Run);
+  return true;
 }
 
 void query_engine::finishIfOver(query_ticket Ticket) {
   auto Run = Runs.find(Ticket);
   if (Run == Runs.end())
     return;
-  if (Run->second.complete() || Run->second.stuck())
+  if (Run->second.complete() || Run->second.hopeless())
     finish(Run);
 }
 
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -71,7 +71,9 @@
   void startWaiting();
   std::optional<attempt_record> endAttempt(attempt_id Attempt);
   query_run *findRun(const attempt_record &Record);
-  void restart(query_ticket Ticket, query_run &Run);
+  /// Starts \p Run over where its snapshot went away and a newer one is in
+  /// force. \returns whether it did.
+  bool restartIfDue(query_ticket Ticket, query_run &Run);
   void finishIfOver(query_ticket Ticket);
   void finish(run_map::iterator Run);
   void cancelOpen(query_run &Run);
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -52,6 +52,7 @@
   Partial = partial_answer(Request.RequestId, Snapshot);
   Shards.assign(Snapshot->Shards.size(), shard_state{});
   ++Generation;
+  SnapshotGone = false;
 }
 
 bool query_run::complete() const {
@@ -59,11 +60,13 @@
   return Stated.Answered == Stated.Asked;
 }
 
-bool query_run::stuck() const {
+bool query_run::hopeless() const {
+  coverage Reachable = Partial.stated();
   for (std::size_t I = 0; I < Shards.size(); ++I)
-    if (!Partial.has(I) && Shards[I].Open.empty() && !wantsAttempt(I))
-      return true;
-  return false;
+    if (!Partial.has(I) && (!Shards[I].Open.empty() || wantsAttempt(I)))
+      ++Reachable.Answered;
+  return Reachable.Answered == Partial.stated().Answered ||
+         Reachable.share() < Profile.Coverage;
 }
 
 query_outcome query_run::finish() {
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -80,9 +80,16 @@
   /// \returns whether every shard answered.
   bool complete() const;
 
-  /// \returns whether some shard can get no result any more, so that waiting
-  /// for it is of no use.
-  bool stuck() const;
+  /// \returns whether waiting is of no use: no shard can get a result any
+  /// more, or too few can for the profile's coverage.
+  bool hopeless() const;
+
+  /// Notes that an upstream no longer holds the pinned snapshot.
+  void snapshotGone() { SnapshotGone = true; }
+
+  /// \returns whether the request should start over once a newer snapshot is
+  /// in force.
+  bool awaitsSnapshot() const { return SnapshotGone && restartAllowed(); }
 
   /// Ends the run. \returns what the caller is told at this instant.
   query_outcome finish();
@@ -105,6 +112,7 @@
   partial_answer Partial;
   std::vector<shard_state> Shards;
   unsigned Generation = 0;
+  bool SnapshotGone = false;
 };
 
 } // namespace masticproxy
--- a/packages/core/tests/query_engine_test.cpp
+++ b/packages/core/tests/query_engine_test.cpp
@@ -149,3 +149,35 @@
   F.Engine.handle(leave_started{});
   cr_assert(delivers<not_run>(F.arrive(1)));
 }
+
+Test(query_engine, starts_over_when_the_new_snapshot_comes_after_the_refusal) {
+  engine_fixture F(/*MayRepeat=*/true);
+  auto Attempts = attemptsIn(F.arrive(1));
+  F.Engine.handle(
+      attempt_failed{Attempts[0].Attempt, attempt_failure::SnapshotGone});
+  F.setCatalogue("s2", /*MayRepeat=*/true, 1.0);
+  F.Clock.advance(Wait / 2);
+  auto Later = attemptsIn(F.arrive(2));
+  cr_assert(Later[0].Snapshot == "s2");
+  cr_assert(F.Engine.running() == 2);
+  auto Stale = F.answer(Attempts[1]);
+  cr_assert_not(delivers<answered>(Stale));
+  // The first request's attempts on s2 came with the catalogue.
+  attempt_id First = Later[0].Attempt - 2;
+  for (attempt_id Attempt : {First, First + 1}) {
+    std::string Shard = Attempt == First ? "0" : "1";
+    auto Commands =
+        F.Engine.handle(attempt_answered{Attempt, {"r", "s2", Shard, "body"}});
+    cr_assert(delivers<answered>(Commands) == (Attempt != First));
+  }
+}
+
+Test(query_engine, waits_for_what_can_still_reach_the_coverage) {
+  engine_fixture F(/*MayRepeat=*/false, /*Coverage=*/0.5);
+  auto Attempts = attemptsIn(F.arrive(1));
+  auto After = F.Engine.handle(
+      attempt_failed{Attempts[0].Attempt, attempt_failure::Unknown});
+  cr_assert_not(delivers<outcome_unknown>(After));
+  auto Commands = F.answer(Attempts[1]);
+  cr_assert(delivers<answered>(Commands));
+}
