Fuzz frames, settings and index maps; keep odd characters from toml++

Change: a text is rewritten line by line before it is read: escapes in double quotes, nothing in comments, a clear problem elsewhere and for texts over several lines.

--- a/packages/config/masticproxy/src/Settings/value_checker.cpp
+++ b/packages/config/masticproxy/src/Settings/value_checker.cpp
@@ -1,5 +1,7 @@
 #include "masticproxy/src/Settings/value_checker.h"
 
+#include "masticproxy/src/Settings/ascii_text.h"
+
 #include <boost/asio/ip/address.hpp>
 #include <toml++/toml.h>
 
@@ -103,9 +105,13 @@
 checked_values value_checker::run(std::string_view Text,
                                   std::span<const key_spec> Specs) {
   checked_values Result;
+  ascii_text Ascii = toAscii(Text, Source);
+  Problems = std::move(Ascii.Problems);
+  if (!Problems.empty())
+    return Result;
   toml::table Root;
   try {
-    Root = toml::parse(Text, Source);
+    Root = toml::parse(Ascii.Text, Source);
   } catch (const toml::parse_error &Error) {
     add(static_cast<unsigned>(Error.source().begin.line), "",
         std::string(Error.description()), "valid TOML");
--- a/packages/config/tests/settings_test.cpp
+++ b/packages/config/tests/settings_test.cpp
@@ -70,6 +70,23 @@
   cr_assert(Problems[0].Expected == "valid TOML");
 }
 
+Test(settings, refuse_characters_beyond_ascii_outside_quoted_texts) {
+  auto Problems = problemsOf("[node]\nname \xd0\x8d = \"x\"\n");
+  cr_assert(Problems.size() == 1);
+  cr_assert(Problems[0].Line == 2);
+}
+
+Test(settings, take_characters_beyond_ascii_in_quoted_texts_and_comments) {
+  std::string Text(Good);
+  Text.replace(Text.find("vm-1"), 4, "vm-\xc3\xa9t\xc3\xa9");
+  Text += "# \xc3\xa9\n";
+  cr_assert(readNodeSettings(Text, "file").Name == "vm-\xc3\xa9t\xc3\xa9");
+}
+
+Test(settings, refuse_a_text_over_several_lines) {
+  cr_assert(problemsOf("[node]\nname = \"\"\"x\ny\"\"\"\n").size() == 2);
+}
+
 Test(settings, every_default_fits_its_own_bounds) {
   for (auto Specs : {nodeSettingsSpecs(), profileSpecs()})
     for (const key_spec &Spec : Specs) {
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -45,4 +45,7 @@
   MASTICPROXY_INSTRUMENTED_BIN=$PWD/build/tsan/bin run_tests build/release -L threaded
 python3 tools/tsan_reports.py "$REPORTS"
 
+step "fuzzers, a bounded run"
+./tools/fuzz.sh
+
 step "done"
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build and the tests need.
 set -euo pipefail
 PACKAGES=(g++ cmake ninja-build ccache make pkg-config curl python3
-  clang-format clang-tidy clang gnuplot-nox
+  clang-format clang-tidy clang libclang-rt-dev gnuplot-nox
   libcaf-dev libflatbuffers-dev flatbuffers-compiler libtomlplusplus-dev
   libboost-dev liblog4cxx-dev libcriterion-dev librapidcheck-dev
   nlohmann-json3-dev libxxhash-dev libbenchmark-dev)
