Decide in core which VM of another data centre runs an attempt

Cause: only VMs of an upstream's own data centre may speak to it, so a shard without a local replica was never asked and its coverage was lost. Ruled out: naming the replicas in the request, which would let one VM spend another's connection shares; a second engine for relayed attempts, which would count the shares twice. Change: the engine sends such an attempt to a VM chosen by relay_router; the VM there runs it as a request of one shard through the same engine, taken at most once by relay_inbox.

--- a/packages/core/masticproxy/src/Cluster/membership.cpp
+++ b/packages/core/masticproxy/src/Cluster/membership.cpp
@@ -21,6 +21,10 @@
 }
 
 void membership::onListed(std::span<const member_info> Listed) {
+  Remotes.clear();
+  for (const member_info &Vm : Listed)
+    if (Vm.DataCentre != Self.DataCentre)
+      Remotes.push_back(Vm);
   for (const member_info &Vm : Listed) {
     if (Vm.Name == Self.Name || Vm.DataCentre != Self.DataCentre)
       continue;
--- a/packages/core/masticproxy/src/Cluster/membership.h
+++ b/packages/core/masticproxy/src/Cluster/membership.h
@@ -19,7 +19,8 @@
   duration DeadAfter;
 };
 
-/// \brief One VM's view of the VMs of its data centre.
+/// \brief One VM's view of the VMs of its data centre, and the names of those
+/// of others.
 ///
 /// Every VM hears every other VM of its data centre directly; a member's state
 /// follows from its silence.
@@ -49,6 +50,9 @@
   /// \returns the other VMs of the data centre, dead ones included.
   std::vector<member_info> peers() const;
 
+  /// \returns the VMs of other data centres, as the platform listed them last.
+  const std::vector<member_info> &remoteMembers() const { return Remotes; }
+
   /// \returns how many VMs of the data centre, this one included, may hold
   /// connections to upstreams.
   unsigned sharers() const;
@@ -63,6 +67,7 @@
   member_info Self;
   membership_timing Timing;
   std::map<std::string, member_record> Peers;
+  std::vector<member_info> Remotes;
   std::uint64_t Sequence = 0;
 };
 
--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/query_outcome.h"
+#include "masticproxy/src/Relay/relay_message.h"
 
 #include <memory>
 #include <string>
@@ -35,9 +36,31 @@
   query_outcome Outcome;
 };
 
+/// \brief Ask a VM of another data centre to run an attempt.
+struct send_relay {
+  std::string Vm;
+  std::string PeerAddress;
+  /// The surroundings fill in the origin and the time left.
+  relay_request Request;
+  time_point Deadline;
+};
+
+/// \brief Tell a VM of another data centre that an attempt is not needed.
+struct cancel_relay {
+  attempt_id Attempt = 0;
+};
+
+/// \brief Answer a VM of another data centre over the connection it asked by.
+struct answer_relay {
+  std::uint64_t Connection = 0;
+  std::string RequestId;
+  relay_message Message;
+};
+
 /// \brief All that the query engine asks its surroundings to do.
 using engine_command =
-    std::variant<send_attempt, cancel_attempt, deliver_outcome>;
+    std::variant<send_attempt, cancel_attempt, deliver_outcome, send_relay,
+                 cancel_relay, answer_relay>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -1,7 +1,11 @@
 #ifndef MASTICPROXY_QUERY_ENGINE_EVENT_H
 #define MASTICPROXY_QUERY_ENGINE_EVENT_H
 
+#include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Query/partial_answer.h"
+#include "masticproxy/src/Relay/relay_cancel.h"
+#include "masticproxy/src/Relay/relay_end.h"
+#include "masticproxy/src/Relay/relay_request.h"
 
 #include <cstdint>
 #include <memory>
@@ -64,10 +68,34 @@
 /// \brief The process is leaving: no new request is admitted.
 struct leave_started {};
 
+/// \brief An attempt that went to a VM of another data centre ended without a
+/// result; a result comes as attempt_answered.
+struct relay_failed {
+  attempt_id Attempt = 0;
+  relay_end End = relay_end::Unknown;
+};
+
+/// \brief A VM of another data centre asks for an attempt.
+struct relay_arrived {
+  /// Connection that the answer goes to.
+  std::uint64_t Connection = 0;
+  relay_request Request;
+  time_point Deadline;
+};
+
+/// \brief A VM of another data centre does not need an attempt any more.
+struct relay_cancelled {
+  relay_cancel Cancel;
+};
+
+/// \brief The process is leaving: no new attempt is run for other VMs.
+struct relays_closed {};
+
 /// \brief All that the query engine reacts to.
 using engine_event =
     std::variant<query_arrived, attempt_answered, attempt_failed,
-                 catalogue_changed, timer_fired, leave_started>;
+                 catalogue_changed, timer_fired, leave_started, relay_failed,
+                 relay_arrived, relay_cancelled, relays_closed>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -22,7 +22,8 @@
 
 query_engine::query_engine(const clock &Clock, engine_limits Limits)
     : Clock(Clock), Limits(std::move(Limits)),
-      Catalogue(std::make_shared<const query_catalogue>()) {
+      Catalogue(std::make_shared<const query_catalogue>()),
+      Inbox(this->Limits.Relayed) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
   Upstreams.setSharers(this->Limits.Sharers);
 }
@@ -52,7 +53,7 @@
     return refuse(Event, unknown_index{});
   if (Leaving)
     return refuse(Event, not_run{"this VM is leaving"});
-  if (Runs.size() >= Limits.Queries)
+  if (Runs.size() - Inbox.running() >= Limits.Queries)
     return refuse(Event, not_run{"too many requests under way"});
 
   query_ticket Ticket = Event.Ticket;
@@ -70,6 +71,8 @@
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
+  if (Record->Relayed)
+    Router.attemptAnswered(Record->Upstream);
   if (query_run *Run = findRun(*Record)) {
     Run->attemptAnswered(Record->Shard, Event.Attempt, std::move(Event.Result));
     startShard(Record->Ticket, *Run, Record->Shard);
@@ -129,6 +132,8 @@
   const shard &Target = Run.snapshot().Shards[Shard];
   const replica *Chosen =
       Upstreams.choose(Target.Replicas, Run.tried(Shard), Clock.now());
+  if (!Chosen && startRelay(Ticket, Run, Shard))
+    return;
   if (!Chosen) {
     // Every replica was tried or is busy: let it ask each of them once more.
     Run.forgetTried(Shard);
@@ -163,7 +168,8 @@
     return std::nullopt;
   attempt_record Record = std::move(Found->second);
   Attempts.erase(Found);
-  Upstreams.attemptEnded(Record.Upstream);
+  if (!Record.Relayed)
+    Upstreams.attemptEnded(Record.Upstream);
   return Record;
 }
 
@@ -175,9 +181,14 @@
 }
 
 bool query_engine::restartIfDue(query_ticket Ticket, query_run &Run) {
+  if (!Run.awaitsSnapshot())
+    return false;
+  // The origin pinned the snapshot, so only the origin may start over.
+  if (relay_inbox::owns(Ticket))
+    return true;
   const index_map *Index = Catalogue->findIndex(Run.indexName());
   bool Newer = Index && Index->Current->Id != Run.snapshot().Id;
-  if (!Newer || !Run.awaitsSnapshot())
+  if (!Newer)
     return false;
   cancelOpen(Run);
   Run.restartOn(Index->Current);
@@ -189,23 +200,28 @@
   auto Run = Runs.find(Ticket);
   if (Run == Runs.end())
     return;
-  if (Run->second.complete() || Run->second.hopeless())
+  bool Refused = relay_inbox::owns(Ticket) && Run->second.awaitsSnapshot();
+  if (Run->second.complete() || Run->second.hopeless() || Refused)
     finish(Run);
 }
 
 void query_engine::finish(run_map::iterator Run) {
   Deadlines.erase({Run->second.deadline(), Run->first});
   std::string RequestId = Run->second.requestId();
-  Commands.push_back(
-      deliver_outcome{Run->first, RequestId, Run->second.finish()});
+  deliver(Run->first, std::move(RequestId), outcomeOf(*Run));
   cancelOpen(Run->second);
   Runs.erase(Run);
 }
 
 void query_engine::cancelOpen(query_run &Run) {
   for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
-    for (attempt_id Attempt : Run.openAttempts(I))
-      Commands.push_back(cancel_attempt{Attempt});
+    for (attempt_id Attempt : Run.openAttempts(I)) {
+      auto Found = Attempts.find(Attempt);
+      if (Found != Attempts.end() && Found->second.Relayed)
+        Commands.push_back(cancel_relay{Attempt});
+      else
+        Commands.push_back(cancel_attempt{Attempt});
+    }
 }
 
 void query_engine::refuse(const query_arrived &Request, query_outcome Outcome) {
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -6,6 +6,8 @@
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/query_run.h"
 #include "masticproxy/src/Query/upstream_table.h"
+#include "masticproxy/src/Relay/relay_inbox.h"
+#include "masticproxy/src/Relay/relay_router.h"
 
 #include <deque>
 #include <memory>
@@ -26,6 +28,8 @@
   unsigned Sharers = 1;
   /// Data centre of this VM; upstreams of others are not spoken to.
   std::string DataCentre;
+  /// Attempts run for VMs of other data centres at a time.
+  std::size_t Relayed = 1024;
 };
 
 /// \brief Decides all that happens to the requests of one VM.
@@ -50,12 +54,20 @@
   /// Sets how many VMs of the data centre share each upstream's connections.
   void setSharers(unsigned Count) { Upstreams.setSharers(Count); }
 
+  /// Replaces the VMs of other data centres, which may be asked for shards
+  /// that have no usable replica here.
+  void setRemotes(std::vector<member_info> Remotes) {
+    Router.setRemotes(std::move(Remotes));
+  }
+
 private:
   struct attempt_record {
     query_ticket Ticket = 0;
     std::size_t Shard = 0;
     unsigned Generation = 0;
+    /// Address of the upstream, or name of the VM where Relayed.
     std::string Upstream;
+    bool Relayed = false;
   };
   using run_map = std::unordered_map<query_ticket, query_run>;
 
@@ -65,9 +77,14 @@
   void on(catalogue_changed Event);
   void on(timer_fired Event);
   void on(leave_started Event);
+  void on(relay_failed Event);
+  void on(relay_arrived Event);
+  void on(relay_cancelled Event);
+  void on(relays_closed Event);
 
   void startShards(query_ticket Ticket, query_run &Run);
   void startShard(query_ticket Ticket, query_run &Run, std::size_t Shard);
+  bool startRelay(query_ticket Ticket, query_run &Run, std::size_t Shard);
   void startWaiting();
   std::optional<attempt_record> endAttempt(attempt_id Attempt);
   query_run *findRun(const attempt_record &Record);
@@ -76,6 +93,9 @@
   bool restartIfDue(query_ticket Ticket, query_run &Run);
   void finishIfOver(query_ticket Ticket);
   void finish(run_map::iterator Run);
+  void deliver(query_ticket Ticket, std::string RequestId,
+               query_outcome Outcome);
+  static query_outcome outcomeOf(run_map::reference Run);
   void cancelOpen(query_run &Run);
   void refuse(const query_arrived &Request, query_outcome Outcome);
 
@@ -83,6 +103,8 @@
   engine_limits Limits;
   std::shared_ptr<const query_catalogue> Catalogue;
   upstream_table Upstreams;
+  relay_router Router;
+  relay_inbox Inbox;
   run_map Runs;
   std::unordered_map<attempt_id, attempt_record> Attempts;
   std::deque<std::pair<query_ticket, std::size_t>> Waiting;
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -33,6 +33,17 @@
   return Best;
 }
 
+bool upstream_table::servesBy(std::span<const replica> Replicas,
+                              time_point Latest) const {
+  return std::any_of(Replicas.begin(), Replicas.end(),
+                     [&](const replica &Candidate) {
+                       auto Found = States.find(Candidate.Address);
+                       bool Avoided = Found != States.end() &&
+                                      Latest < Found->second.AvoidUntil;
+                       return Candidate.DataCentre == DataCentre && !Avoided;
+                     });
+}
+
 void upstream_table::attemptStarted(std::string_view Upstream) {
   auto Found = States.try_emplace(std::string(Upstream)).first;
   ++Found->second.InFlight;
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -29,6 +29,10 @@
                         std::span<const std::string> Tried,
                         time_point Now) const;
 
+  /// \returns whether some replica of the data centre takes work by \p Latest,
+  /// even if all of its places are taken now.
+  bool servesBy(std::span<const replica> Replicas, time_point Latest) const;
+
   /// Takes a place at \p Upstream.
   void attemptStarted(std::string_view Upstream);
 
--- a/packages/wire/masticproxy/src/Wire/frame_reader.cpp
+++ b/packages/wire/masticproxy/src/Wire/frame_reader.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t VersionOffset = 4;
+constexpr std::size_t ChannelOffset = 6;
 constexpr std::size_t ChecksumOffset = 8;
 
 std::uint32_t checksum(std::string_view Payload) {
@@ -26,12 +27,13 @@
 
 } // namespace
 
-std::string masticproxy::makeFrame(std::string_view Payload) {
+std::string masticproxy::makeFrame(std::string_view Payload,
+                                   frame_channel Channel) {
   std::string Frame;
   Frame.reserve(FrameHeaderBytes + Payload.size());
   appendLittle(Frame, static_cast<std::uint32_t>(Payload.size()));
   appendLittle(Frame, ProtocolVersion);
-  appendLittle(Frame, std::uint16_t{0});
+  appendLittle(Frame, static_cast<std::uint16_t>(Channel));
   appendLittle(Frame, checksum(Payload));
   Frame.append(Payload);
   return Frame;
@@ -53,3 +55,12 @@
   Buffer.erase(0, FrameHeaderBytes + Length);
   return Payload;
 }
+
+std::optional<frame_channel> frame_reader::channel() const {
+  if (Buffer.size() < FrameHeaderBytes)
+    return std::nullopt;
+  auto Value = loadLittle<std::uint16_t>(Buffer, ChannelOffset);
+  return Value == static_cast<std::uint16_t>(frame_channel::Relay)
+             ? frame_channel::Relay
+             : frame_channel::Control;
+}
--- a/packages/wire/masticproxy/src/Wire/frame_reader.h
+++ b/packages/wire/masticproxy/src/Wire/frame_reader.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPROXY_WIRE_FRAME_READER_H
 #define MASTICPROXY_WIRE_FRAME_READER_H
 
+#include "masticproxy/src/Wire/frame_channel.h"
 #include "masticproxy/src/Wire/frame_error.h"
 
 #include <cstddef>
@@ -8,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 
 namespace masticproxy {
@@ -18,12 +20,13 @@
 /// Version of the protocol between the system's processes.
 inline constexpr std::uint16_t ProtocolVersion = 1;
 
-/// Bytes before the payload: length (4), version (2), zero (2), checksum (4),
-/// all little endian.
+/// Bytes before the payload: length (4), version (2), channel (2), checksum
+/// (4), all little endian.
 inline constexpr std::size_t FrameHeaderBytes = 12;
 
 /// \returns \p Payload as one frame.
-std::string makeFrame(std::string_view Payload);
+std::string makeFrame(std::string_view Payload,
+                      frame_channel Channel = frame_channel::Control);
 
 /// \brief Cuts a stream of bytes into frames.
 class frame_reader {
@@ -35,6 +38,13 @@
   /// after which the stream can't be read on.
   std::optional<std::variant<std::string, frame_error>> next();
 
+  /// \returns what the connection carries, as the next frame's header says;
+  /// nothing before the header is there.
+  std::optional<frame_channel> channel() const;
+
+  /// Moves out the bytes that are not read yet.
+  std::string takeBytes() { return std::exchange(Buffer, {}); }
+
 private:
   std::string Buffer;
 };
