Join the relay to the daemon over connections of its own

Cause: the engine's relayed attempts had no way to another VM. Ruled out: carrying them in the control connections and rings, where a burst would delay heartbeats; an address of its own for relays, which the platform's list of VMs does not name. The frame's header says what a connection carries. A VM that leaves refuses relayed attempts at once. Frames carry hybrid time stamps.

--- a/packages/core/masticproxy/src/Query/query_engine_relay.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_relay.cpp
@@ -67,7 +67,8 @@
     return;
   Router.attemptFailed(Record->Upstream, Event.End, Clock.now());
   if (query_run *Run = findRun(*Record)) {
-    Run->attemptFailed(Record->Shard, Event.Attempt, failureOf(Event.End));
+    Run->attemptFailed(Record->Shard, Event.Attempt,
+                       attemptFailureOf(Event.End));
     if (Event.End == relay_end::RefusedSnapshot)
       Run->snapshotGone();
     if (!restartIfDue(Record->Ticket, *Run))
--- a/packages/core/masticproxy/src/Relay/relay_end.cpp
+++ b/packages/core/masticproxy/src/Relay/relay_end.cpp
@@ -4,7 +4,7 @@
 
 using namespace masticproxy;
 
-attempt_failure masticproxy::failureOf(relay_end End) {
+attempt_failure masticproxy::attemptFailureOf(relay_end End) {
   switch (End) {
   case relay_end::NotSent:
     return attempt_failure::NotSent;
--- a/packages/core/masticproxy/src/Relay/relay_end.h
+++ b/packages/core/masticproxy/src/Relay/relay_end.h
@@ -29,7 +29,7 @@
 };
 
 /// \returns what \p End says of the attempt.
-attempt_failure failureOf(relay_end End);
+attempt_failure attemptFailureOf(relay_end End);
 
 /// \returns how a refusal for \p Reason ends the attempt.
 relay_end endOf(refusal_reason Reason);
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -67,6 +67,7 @@
 
 void control_duty::on(const vms_listed &Listed) {
   Members.onListed(Listed.Vms);
+  publishRemotes();
 }
 
 void control_duty::on(const heartbeat &Heartbeat) {
@@ -120,8 +121,7 @@
 }
 
 void control_duty::publishCatalogue() {
-  while (!Links.ToEngine.push(catalogue_changed{Catalogue}))
-    std::this_thread::yield();
+  tellEngine(catalogue_changed{Catalogue});
 }
 
 void control_duty::publishSharers() {
@@ -131,7 +131,19 @@
   Sharers = Count;
   Links.Events.add("sharers_changed", "", std::to_string(Count));
   logInfo("event=sharers_changed count=" + std::to_string(Count));
-  while (!Links.ToEngine.push(sharers_changed{Count}))
+  tellEngine(sharers_changed{Count});
+}
+
+void control_duty::publishRemotes() {
+  if (Members.remoteMembers() == Remotes)
+    return;
+  Remotes = Members.remoteMembers();
+  Links.Events.add("remotes_changed", "", std::to_string(Remotes.size()));
+  tellEngine(remotes_changed{Remotes});
+}
+
+void control_duty::tellEngine(const engine_update &Update) {
+  while (!Links.ToEngine.push(Update))
     std::this_thread::yield();
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.h
@@ -40,6 +40,8 @@
   bool takeOver(const configuration_record &Record);
   void publishCatalogue();
   void publishSharers();
+  void publishRemotes();
+  void tellEngine(const engine_update &Update);
   void publishStatus();
   void sendToPeers(peer_message Message);
   void send(const std::string &PeerAddress, peer_message Message);
@@ -52,6 +54,7 @@
   std::shared_ptr<const query_catalogue> Catalogue;
   std::map<object_key, object_in_force> InForce;
   std::string PullFrom;
+  std::vector<member_info> Remotes;
   unsigned Sharers = 0;
 };
 
--- a/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
@@ -19,6 +19,11 @@
   unsigned Count = 1;
 };
 
+/// \brief Tells the engine which VMs stand in other data centres.
+struct remotes_changed {
+  std::vector<member_info> Remotes;
+};
+
 /// \brief The platform's list of VMs.
 struct vms_listed {
   std::vector<member_info> Vms;
@@ -31,11 +36,17 @@
 };
 
 /// From the control duty to the engine.
-using engine_update = std::variant<catalogue_changed, sharers_changed>;
+using engine_update =
+    std::variant<catalogue_changed, sharers_changed, remotes_changed>;
 /// From the engine to the upstreams duty.
 using upstream_command = std::variant<send_attempt, cancel_attempt>;
 /// From the upstreams duty to the engine.
 using upstream_event = std::variant<attempt_answered, attempt_failed>;
+/// From the engine to the relay duty.
+using relay_command = std::variant<send_relay, cancel_relay, answer_relay>;
+/// From the relay duty to the engine.
+using relay_event = std::variant<attempt_answered, relay_failed, relay_arrived,
+                                 relay_cancelled>;
 /// From the platform duty to control.
 using platform_event = std::variant<configuration_push, vms_listed>;
 
@@ -44,6 +55,8 @@
 using update_ring = ring_channel<engine_update>;
 using upstream_command_ring = ring_channel<upstream_command>;
 using upstream_event_ring = ring_channel<upstream_event>;
+using relay_command_ring = ring_channel<relay_command>;
+using relay_event_ring = ring_channel<relay_event>;
 using platform_event_ring = ring_channel<platform_event>;
 using peer_inbox_ring = ring_channel<peer_message>;
 using peer_outbox_ring = ring_channel<send_to_peer>;
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -46,23 +46,31 @@
                          });
                        });
                      }),
+      RelayEvents(RequestRingCapacity,
+                  [this] {
+                    Loop.post([this] {
+                      RelayEvents.drain(
+                          [this](relay_event E) { receive(std::move(E)); });
+                    });
+                  }),
       Updates(ControlRingCapacity, [this] {
         Loop.post([this] {
-          Updates.drain([this](engine_update E) {
-            if (auto *Changed = std::get_if<catalogue_changed>(&E))
-              handle(std::move(*Changed));
-            else
-              Engine.setSharers(std::get<sharers_changed>(E).Count);
-          });
+          Updates.drain([this](engine_update E) { take(std::move(E)); });
         });
       }) {}
 
 void engine_thread::connect(upstream_command_ring &NewUpstreams,
-                            outcome_ring &NewCallers) {
+                            outcome_ring &NewCallers,
+                            relay_command_ring &NewRelay) {
   Upstreams = &NewUpstreams;
+  Relay = &NewRelay;
   Callers = &NewCallers;
 }
 
+void engine_thread::closeRelays() {
+  Loop.call([this] { handle(relays_closed{}); });
+}
+
 void engine_thread::leave() {
   Loop.call([this] { handle(leave_started{}); });
 }
@@ -104,6 +112,50 @@
     std::this_thread::yield();
 }
 
+void engine_thread::carryOut(const send_relay &Command) {
+  Counters.get("relay_attempts_total").add();
+  Events.add("relay_sent", Command.Request.RequestId,
+             Command.Request.Shard + " to " + Command.Vm);
+  attempt_id Attempt = Command.Request.Attempt;
+  if (Relay->push(Command))
+    return;
+  Counters.get("relay_ring_full_total").add();
+  Loop.post([this, Attempt] {
+    handle(relay_failed{Attempt, relay_end::NotSent});
+  });
+}
+
+void engine_thread::carryOut(const cancel_relay &Command) {
+  Counters.get("cancellations_total").add();
+  Relay->push(Command);
+}
+
+void engine_thread::carryOut(const answer_relay &Command) {
+  Events.add("relay_answered", Command.RequestId, "");
+  // The relay's thread waits for this one, so this one must not wait for it.
+  // The origin ends an attempt whose answer is dropped, as unknown.
+  if (!Relay->push(Command))
+    Counters.get("relay_ring_full_total").add();
+}
+
+void engine_thread::receive(relay_event Event) {
+  if (auto *Arrived = std::get_if<relay_arrived>(&Event)) {
+    Counters.get("relay_attempts_received_total").add();
+    Events.add("relay_arrived", Arrived->Request.RequestId,
+               Arrived->Request.Shard + " from " + Arrived->Request.Origin);
+  }
+  std::visit([this](auto E) { handle(std::move(E)); }, std::move(Event));
+}
+
+void engine_thread::take(engine_update Update) {
+  if (auto *Changed = std::get_if<catalogue_changed>(&Update))
+    handle(std::move(*Changed));
+  else if (auto *Remotes = std::get_if<remotes_changed>(&Update))
+    Engine.setRemotes(std::move(Remotes->Remotes));
+  else
+    Engine.setSharers(std::get<sharers_changed>(Update).Count);
+}
+
 void engine_thread::schedule() {
   std::optional<time_point> Next = Engine.nextWakeup();
   if (!Next)
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -21,15 +21,20 @@
                 counter_registry &Counters, event_log &Events);
 
   /// Sets the rings that commands go to; before start().
-  void connect(upstream_command_ring &Upstreams, outcome_ring &Callers);
+  void connect(upstream_command_ring &Upstreams, outcome_ring &Callers,
+               relay_command_ring &Relay);
 
   query_ring &queries() { return Queries; }
   upstream_event_ring &upstreamEvents() { return UpstreamEvents; }
+  relay_event_ring &relayEvents() { return RelayEvents; }
   update_ring &updates() { return Updates; }
 
   void start() { Loop.start(); }
   void stop() { Loop.stop(); }
 
+  /// Runs no new attempt for VMs of other data centres from here on.
+  void closeRelays();
+
   /// Admits no request from here on.
   void leave();
 
@@ -41,6 +46,11 @@
   void carryOut(const send_attempt &Command);
   void carryOut(const cancel_attempt &Command);
   void carryOut(const deliver_outcome &Command);
+  void carryOut(const send_relay &Command);
+  void carryOut(const cancel_relay &Command);
+  void carryOut(const answer_relay &Command);
+  void receive(relay_event Event);
+  void take(engine_update Update);
   void schedule();
 
   loop_thread Loop;
@@ -51,9 +61,11 @@
   std::optional<time_point> TimerSetFor;
   query_ring Queries;
   upstream_event_ring UpstreamEvents;
+  relay_event_ring RelayEvents;
   update_ring Updates;
   upstream_command_ring *Upstreams = nullptr;
   outcome_ring *Callers = nullptr;
+  relay_command_ring *Relay = nullptr;
   std::atomic<std::size_t> Running{0};
 };
 
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -8,6 +8,7 @@
 #include "masticproxy/src/Daemon/engine_thread.h"
 #include "masticproxy/src/Daemon/peers_thread.h"
 #include "masticproxy/src/Daemon/platform_thread.h"
+#include "masticproxy/src/Daemon/relay_thread.h"
 #include "masticproxy/src/Daemon/upstreams_thread.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Net/http_platform.h"
@@ -41,6 +42,7 @@
         Engine(Clock, {Settings.Queries, 1, Settings.DataCentre}, Counters,
                Events),
         Upstreams(Clock, Counters), Callers(Settings, Counters, Events, Status),
+        Relay(Clock, Timeline, Counters, Events, Settings.Name, Incarnation),
         Peers(Settings.PeersAddress, Counters),
         PlatformDuty(Platform, Settings.PlatformWatchWait, Counters),
         FromPlatform(ControlRingCapacity, [this] { wakeControl(); }),
@@ -49,7 +51,7 @@
               Clock,
               Counters,
               Events,
-              static_cast<std::uint64_t>(Clock.wallTime().count()),
+              Incarnation,
               FromPlatform,
               FromPeers,
               Engine.updates(),
@@ -57,7 +59,9 @@
               Status,
               [this] { return PlatformDuty.reachable(); }},
         Duty(Links), Actors(ActorConfig) {
-    Engine.connect(Upstreams.commands(), Callers.outcomes());
+    Engine.connect(Upstreams.commands(), Callers.outcomes(), Relay.commands());
+    Relay.connect(Engine.relayEvents());
+    Peers.handOverRelaysTo(Relay);
     Upstreams.connect(Engine.upstreamEvents());
     Callers.connect(Engine.queries());
     Peers.connect(FromPeers);
@@ -68,6 +72,8 @@
 
   node_settings Settings;
   os_clock Clock;
+  std::uint64_t Incarnation =
+      static_cast<std::uint64_t>(Clock.wallTime().count());
   hybrid_clock Timeline;
   counter_registry Counters;
   event_log Events;
@@ -77,6 +83,7 @@
   engine_thread Engine;
   upstreams_thread Upstreams;
   callers_thread Callers;
+  relay_thread Relay;
   peers_thread Peers;
   platform_thread PlatformDuty;
   platform_event_ring FromPlatform;
@@ -96,6 +103,7 @@
   Parts->PlatformDuty.stop();
   Parts->Peers.stop();
   Parts->Callers.stop();
+  Parts->Relay.stop();
   Parts->Engine.stop();
   Parts->Upstreams.stop();
   if (Parts->Control)
@@ -109,6 +117,7 @@
   Parts->Engine.start();
   Parts->Upstreams.start();
   Parts->Callers.start();
+  Parts->Relay.start();
   Parts->Peers.start();
   Parts->PlatformDuty.start();
   logInfo("event=started data_centre=" + Parts->Settings.DataCentre +
@@ -120,6 +129,8 @@
   logInfo("event=leaving");
   Parts->Callers.stopBeingReady();
   caf::anon_send(Parts->Control, leave_atom_v);
+  // Other VMs have a choice of VMs; refused now, they take another at once.
+  Parts->Engine.closeRelays();
   // The balancer goes on sending requests until it has seen the ready check.
   std::this_thread::sleep_for(Parts->Settings.BalancerLag);
   Parts->Callers.stopAccepting();
--- a/packages/daemon/masticproxy/src/Daemon/peer_receiver.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/peer_receiver.cpp
@@ -10,9 +10,10 @@
 
 peer_receiver::peer_receiver(boost::asio::ip::tcp::socket Socket,
                              counter_registry &Counters,
-                             std::function<void(const peer_message &)> Receive)
+                             std::function<void(const peer_message &)> Receive,
+                             relay_handover HandOver)
     : Socket(std::move(Socket)), Counters(Counters),
-      Receive(std::move(Receive)) {}
+      Receive(std::move(Receive)), HandOver(std::move(HandOver)) {}
 
 void peer_receiver::start() {
   Socket.async_read_some(
@@ -30,6 +31,10 @@
 }
 
 bool peer_receiver::handleFrames() {
+  if (Reader.channel() == frame_channel::Relay) {
+    HandOver(std::move(Socket), Reader.takeBytes());
+    return false;
+  }
   while (auto Frame = Reader.next()) {
     if (auto *Error = std::get_if<frame_error>(&*Frame)) {
       reject(*Error);
--- a/packages/daemon/masticproxy/src/Daemon/peer_receiver.h
+++ b/packages/daemon/masticproxy/src/Daemon/peer_receiver.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace masticproxy {
 
@@ -16,11 +17,17 @@
 
 namespace internal {
 
+/// Takes over a connection that carries relayed attempts, with the bytes that
+/// were read from it.
+using relay_handover =
+    std::function<void(boost::asio::ip::tcp::socket, std::string)>;
+
 /// \brief A connection that a peer opened; ends at the first bad frame.
 class peer_receiver : public std::enable_shared_from_this<peer_receiver> {
 public:
   peer_receiver(boost::asio::ip::tcp::socket Socket, counter_registry &Counters,
-                std::function<void(const peer_message &)> Receive);
+                std::function<void(const peer_message &)> Receive,
+                relay_handover HandOver);
 
   /// Starts to read frames.
   void start();
@@ -32,6 +39,7 @@
   boost::asio::ip::tcp::socket Socket;
   counter_registry &Counters;
   std::function<void(const peer_message &)> Receive;
+  relay_handover HandOver;
   frame_reader Reader;
   std::array<char, 16384> Chunk{};
 };
--- a/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
@@ -3,6 +3,7 @@
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/peer_receiver.h"
 #include "masticproxy/src/Daemon/peer_sender.h"
+#include "masticproxy/src/Daemon/relay_thread.h"
 #include "masticproxy/src/Net/tcp_address.h"
 #include "masticproxy/src/Wire/frame_reader.h"
 #include "masticproxy/src/Wire/peer_codec.h"
@@ -47,7 +48,10 @@
         if (!Error)
           std::make_shared<internal::peer_receiver>(
               std::move(Socket), Counters,
-              [this](const peer_message &Message) { receive(Message); })
+              [this](const peer_message &Message) { receive(Message); },
+              [this](tcp::socket Relayed, std::string Early) {
+                Relay->adopt(std::move(Relayed), std::move(Early));
+              })
               ->start();
         accept();
       });
--- a/packages/daemon/masticproxy/src/Daemon/peers_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/peers_thread.h
@@ -13,6 +13,7 @@
 namespace masticproxy {
 
 class counter_registry;
+class relay_thread;
 
 namespace internal {
 class peer_receiver;
@@ -31,6 +32,10 @@
   /// Sets the ring that received messages go to; before start().
   void connect(peer_inbox_ring &NewControl) { Control = &NewControl; }
 
+  /// Sets who takes over connections that carry relayed attempts; before
+  /// start().
+  void handOverRelaysTo(relay_thread &NewRelay) { Relay = &NewRelay; }
+
   peer_outbox_ring &outbox() { return Outbox; }
 
   /// Listens and starts. \throws std::runtime_error where it can't listen.
@@ -48,6 +53,7 @@
   boost::asio::ip::tcp::acceptor Acceptor;
   peer_outbox_ring Outbox;
   peer_inbox_ring *Control = nullptr;
+  relay_thread *Relay = nullptr;
   std::map<std::string, std::shared_ptr<internal::peer_sender>> Senders;
 };
 
