Add decisions for replica choice, hedging and the load budget

Cause: replicas are chosen by open attempts alone, a late attempt holds its whole query, retries have no bound, and every event walks all waiting shards.

Not wired in yet.

--- /dev/null
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
@@ -0,0 +1,136 @@
+#include "masticproxy/src/Routing/adaptive_policy.h"
+
+#include "masticproxy/src/Routing/outlier_ejection.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <limits>
+#include <vector>
+
+using namespace masticproxy;
+
+namespace {
+
+/// Share of attempts that are expected to end before they are hedged.
+constexpr double HedgeQuantile = 0.97;
+
+/// Shortest time before a hedge.
+constexpr std::chrono::milliseconds LeastHedgeDelay{1};
+
+/// Latencies between two calculations of the hedge delay.
+constexpr unsigned HedgeDelayUpdate = 16;
+
+/// Latencies below this multiple of the best in the set count as equal.
+constexpr double EqualLatency = 2.0;
+
+/// Differences below this are not told apart.
+constexpr std::chrono::milliseconds LatencyFloor{1};
+
+duration bestLatency(std::span<const candidate> Open, time_point Now) {
+  duration Best = duration::max();
+  for (const candidate &One : Open) {
+    duration Latency = One.Health->latency(Now);
+    if (Latency > duration{0})
+      Best = std::min(Best, Latency);
+  }
+  return std::max<duration>(Best, LatencyFloor);
+}
+
+/// Expected wait relative to an idle upstream with the best latency.
+double cost(const candidate &One, duration Best, time_point Now) {
+  std::chrono::duration<double> Latency = One.Health->latency(Now);
+  std::chrono::duration<double> Equal = Best;
+  double Slowness = std::max(1.0, Latency / (Equal * EqualLatency));
+  return (One.InFlight + 1.0) * (One.Health->failures() + 1.0) * Slowness;
+}
+
+std::vector<candidate> openCandidates(std::span<const candidate> Set,
+                                      time_point Now) {
+  std::vector<bool> Ejected = ejectedReplicas(Set, Now);
+  std::vector<candidate> Open;
+  for (std::size_t I = 0; I < Set.size(); ++I) {
+    bool Usable = Set[I].isOpen(Now) && !Set[I].Health->isBackingOff(Now);
+    if (Usable && !Ejected[I])
+      Open.push_back(Set[I]);
+  }
+  return Open;
+}
+
+} // namespace
+
+const replica *adaptive_policy::choose(std::span<const candidate> Set,
+                                       time_point Now) {
+  std::vector<candidate> Open = openCandidates(Set, Now);
+  double Readiest = 0;
+  for (const candidate &One : Open)
+    Readiest = std::max(Readiest, One.Health->readiness(Now));
+  std::vector<candidate> Ready;
+  for (const candidate &One : Open)
+    if (passesRamp(One, Readiest, Now))
+      Ready.push_back(One);
+  return best(Ready, Now);
+}
+
+const replica *adaptive_policy::chooseHedge(std::span<const candidate> Set,
+                                            time_point Now) {
+  auto Overloaded =
+      std::count_if(Set.begin(), Set.end(), [Now](const candidate &One) {
+        return One.Health->isOverloaded(Now);
+      });
+  if (2 * static_cast<std::size_t>(Overloaded) >= Set.size())
+    return nullptr;
+  std::vector<candidate> Open = openCandidates(Set, Now);
+  std::erase_if(Open, [Now](const candidate &One) {
+    return One.InFlight >= One.SlotShare || One.Health->isOverloaded(Now) ||
+           One.Health->isSuspect(Now);
+  });
+  return best(Open, Now);
+}
+
+std::optional<duration>
+adaptive_policy::hedgeDelay(std::string_view Index) const {
+  auto Found = Indexes.find(Index);
+  if (Found == Indexes.end())
+    return std::nullopt;
+  return Found->second.HedgeDelay;
+}
+
+void adaptive_policy::observe(std::string_view Index, duration Latency) {
+  auto Found = Indexes.find(Index);
+  if (Found == Indexes.end())
+    Found = Indexes.emplace(std::string(Index), index_latency{}).first;
+  index_latency &State = Found->second;
+  State.Latencies.add(Latency);
+  if (++State.SinceUpdate < HedgeDelayUpdate)
+    return;
+  State.SinceUpdate = 0;
+  State.HedgeDelay = State.Latencies.quantile(HedgeQuantile);
+  if (State.HedgeDelay)
+    State.HedgeDelay = std::max<duration>(*State.HedgeDelay, LeastHedgeDelay);
+}
+
+const replica *adaptive_policy::best(std::span<const candidate> Open,
+                                     time_point Now) {
+  duration Best = bestLatency(Open, Now);
+  double Least = std::numeric_limits<double>::max();
+  const replica *Chosen = nullptr;
+  unsigned Equals = 0;
+  for (const candidate &One : Open) {
+    double Cost = cost(One, Best, Now);
+    if (Cost > Least)
+      continue;
+    Equals = Cost < Least ? 1 : Equals + 1;
+    Least = Cost;
+    // Each of the equals ends up chosen with the same probability.
+    if (Random() % Equals == 0)
+      Chosen = One.Replica;
+  }
+  return Chosen;
+}
+
+bool adaptive_policy::passesRamp(const candidate &One, double Readiest,
+                                 time_point Now) {
+  // The readiest always passes, so that some replica is left.
+  std::uniform_real_distribution<double> Share(0.0, Readiest);
+  return One.Health->readiness(Now) >= Share(Random);
+}
--- /dev/null
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.h
@@ -0,0 +1,62 @@
+#ifndef MASTICPROXY_ROUTING_ADAPTIVE_POLICY_H
+#define MASTICPROXY_ROUTING_ADAPTIVE_POLICY_H
+
+#include "masticproxy/src/Routing/candidate.h"
+#include "masticproxy/src/Routing/latency_histogram.h"
+#include "masticproxy/src/Routing/load_budget.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace masticproxy {
+
+/// \brief Chooses by own observation, hedges late attempts, and keeps hedges
+/// and retries within one budget.
+class adaptive_policy {
+public:
+  /// \p Seed fixes the draws among equals.
+  explicit adaptive_policy(unsigned Seed) : Random(Seed) {}
+
+  /// \returns the replica of \p Set for an attempt, or null.
+  const replica *choose(std::span<const candidate> Set, time_point Now);
+
+  /// \returns the replica of \p Set for a hedge, or null; always null while
+  /// the set looks overloaded.
+  const replica *chooseHedge(std::span<const candidate> Set, time_point Now);
+
+  /// \returns how long an attempt at \p Index is out before it is hedged, or
+  /// nothing while too little is known.
+  std::optional<duration> hedgeDelay(std::string_view Index) const;
+
+  /// Notes how long an attempt at \p Index that is no hedge took; for one
+  /// that was given up, its age.
+  void observe(std::string_view Index, duration Latency);
+
+  void firstAttempt() { Budget.firstAttempt(); }
+  bool takeHedge() { return Budget.takeHedge(); }
+  bool takeRetry() { return Budget.takeRetry(); }
+  bool hasRetry() const { return Budget.hasRetry(); }
+
+private:
+  struct index_latency {
+    latency_histogram Latencies;
+    /// Kept from one calculation to the next.
+    std::optional<duration> HedgeDelay;
+    unsigned SinceUpdate = 0;
+  };
+
+  const replica *best(std::span<const candidate> Open, time_point Now);
+  bool passesRamp(const candidate &One, double Readiest, time_point Now);
+
+  load_budget Budget;
+  std::minstd_rand Random;
+  std::map<std::string, index_latency, std::less<>> Indexes;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Routing/attempt_kind.h
@@ -0,0 +1,18 @@
+#ifndef MASTICPROXY_ROUTING_ATTEMPT_KIND_H
+#define MASTICPROXY_ROUTING_ATTEMPT_KIND_H
+
+namespace masticproxy {
+
+/// \brief Why an attempt at a shard is made.
+enum class attempt_kind {
+  /// The shard was not attempted before.
+  First,
+  /// An earlier attempt ended without a result.
+  Retry,
+  /// An earlier attempt has been out for long and stays open.
+  Hedge,
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Routing/load_budget.h
@@ -0,0 +1,48 @@
+#ifndef MASTICPROXY_ROUTING_LOAD_BUDGET_H
+#define MASTICPROXY_ROUTING_LOAD_BUDGET_H
+
+namespace masticproxy {
+
+/// \brief Shares and bounds of a load_budget.
+struct load_budget_limits {
+  /// Further attempts earned by one first attempt, for hedges and retries.
+  double OrdinaryShare = 0.05;
+  /// Further attempts earned by one first attempt, for retries alone.
+  double FaultShare = 0.05;
+  /// Attempts that each of both parts holds at the start.
+  double Initial = 8;
+  /// Most attempts that each of both parts can save up.
+  double Capacity = 32;
+};
+
+/// \brief Bounds the attempts made beyond the first at each shard.
+///
+/// Over any span it grants at most OrdinaryShare of the first attempts to
+/// hedges, and at most OrdinaryShare + FaultShare to hedges and retries
+/// together, beyond what was saved up before.
+class load_budget {
+public:
+  load_budget() : load_budget(load_budget_limits{}) {}
+  explicit load_budget(load_budget_limits Limits);
+
+  /// Notes a first attempt, which earns a share of a further one.
+  void firstAttempt();
+
+  /// \returns whether a hedge may be sent now; it is paid for if so.
+  bool takeHedge();
+
+  /// \returns whether a retry may be sent now; it is paid for if so.
+  bool takeRetry();
+
+  /// \returns whether takeRetry() would grant one.
+  bool hasRetry() const;
+
+private:
+  load_budget_limits Limits;
+  double Ordinary;
+  double Fault;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Routing/naive_policy.h
@@ -0,0 +1,41 @@
+#ifndef MASTICPROXY_ROUTING_NAIVE_POLICY_H
+#define MASTICPROXY_ROUTING_NAIVE_POLICY_H
+
+#include "masticproxy/src/Routing/candidate.h"
+
+#include <optional>
+#include <random>
+#include <span>
+#include <string_view>
+
+namespace masticproxy {
+
+/// \brief The bar that adaptive_policy is measured against: a random local
+/// replica, no hedges, and retries without bound.
+class naive_policy {
+public:
+  /// \p Seed fixes the draws.
+  explicit naive_policy(unsigned Seed) : Random(Seed) {}
+
+  /// \returns any open replica of \p Set, or null.
+  const replica *choose(std::span<const candidate> Set, time_point Now);
+
+  const replica *chooseHedge(std::span<const candidate>, time_point) {
+    return nullptr;
+  }
+  std::optional<duration> hedgeDelay(std::string_view) const {
+    return std::nullopt;
+  }
+  void observe(std::string_view, duration) {}
+  void firstAttempt() {}
+  bool takeHedge() { return false; }
+  bool takeRetry() { return true; }
+  bool hasRetry() const { return true; }
+
+private:
+  std::minstd_rand Random;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Routing/outlier_ejection.cpp
@@ -0,0 +1,32 @@
+#include "masticproxy/src/Routing/outlier_ejection.h"
+
+#include <algorithm>
+#include <cstddef>
+
+using namespace masticproxy;
+
+namespace {
+
+/// One replica of this many may be ejected.
+constexpr std::size_t EjectedPart = 3;
+
+} // namespace
+
+std::vector<bool> masticproxy::ejectedReplicas(std::span<const candidate> Set,
+                                               time_point Now) {
+  std::vector<bool> Ejected(Set.size());
+  std::vector<std::size_t> Suspects;
+  for (std::size_t I = 0; I < Set.size(); ++I)
+    if (Set[I].Health->isSuspect(Now))
+      Suspects.push_back(I);
+  if (2 * Suspects.size() > Set.size())
+    return Ejected;
+  std::stable_sort(
+      Suspects.begin(), Suspects.end(), [Set](std::size_t A, std::size_t B) {
+        return Set[A].Health->failures() > Set[B].Health->failures();
+      });
+  std::size_t Most = std::min(Set.size() / EjectedPart, Suspects.size());
+  for (std::size_t I = 0; I < Most; ++I)
+    Ejected[Suspects[I]] = true;
+  return Ejected;
+}
--- /dev/null
+++ b/packages/core/masticproxy/src/Routing/upstream_health.cpp
@@ -0,0 +1,98 @@
+#include "masticproxy/src/Routing/upstream_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace masticproxy;
+
+namespace {
+
+/// Weight of a new latency in the mean.
+constexpr double LatencyWeight = 0.1;
+
+/// One latency counts as at most this multiple of the mean, so that a single
+/// straggler does not turn work away.
+constexpr double LatencyClip = 4.0;
+
+/// Time without attempts in which a mean latency falls to half.
+constexpr std::chrono::duration<double> LatencyHalfLife{1.0};
+
+/// How long an upstream that refused gets no new work.
+constexpr std::chrono::milliseconds RefusalPause{20};
+
+/// How long a refusal counts as a sign of overload.
+constexpr std::chrono::milliseconds OverloadMemory{500};
+
+/// How long the first connection failure makes an upstream suspect.
+constexpr std::chrono::milliseconds FirstSuspicion{250};
+
+/// Failures after which the suspicion does not grow longer.
+constexpr unsigned LongestSuspicionAt = 6;
+
+/// Time from a start or return to the usual work.
+constexpr std::chrono::duration<double> RampTime{5.0};
+
+/// Share of its usual work that an upstream gets at a start or return.
+constexpr double LeastReadiness = 0.1;
+
+bool within(time_point Since, duration Span, time_point Now) {
+  return Since != time_point{} && Now < Since + Span;
+}
+
+} // namespace
+
+void upstream_health::answered(duration NewLatency, time_point Now) {
+  addLatency(NewLatency, Now);
+  Failures = 0;
+}
+
+void upstream_health::abandoned(duration Age, time_point Now) {
+  // The true latency is longer than the age: it is news only where the age
+  // alone is above the mean.
+  if (Age > Latency)
+    addLatency(Age, Now);
+}
+
+void upstream_health::refused(time_point Now) { RefusedAt = Now; }
+
+void upstream_health::failed(time_point Now) {
+  Failures = std::min(Failures + 1, LongestSuspicionAt);
+  SuspectUntil = Now + FirstSuspicion * (1U << (Failures - 1));
+  RampStart = SuspectUntil;
+}
+
+void upstream_health::draining(time_point Until) {
+  DrainUntil = Until;
+  RampStart = Until;
+}
+
+bool upstream_health::isBackingOff(time_point Now) const {
+  return within(RefusedAt, RefusalPause, Now);
+}
+
+bool upstream_health::isOverloaded(time_point Now) const {
+  return within(RefusedAt, OverloadMemory, Now);
+}
+
+duration upstream_health::latency(time_point Now) const {
+  std::chrono::duration<double> Idle = Now - LatencyAt;
+  double Factor = std::exp2(-(Idle / LatencyHalfLife));
+  return std::chrono::duration_cast<duration>(Latency * Factor);
+}
+
+double upstream_health::readiness(time_point Now) const {
+  std::chrono::duration<double> Age = Now - RampStart;
+  return std::clamp(Age / RampTime, LeastReadiness, 1.0);
+}
+
+void upstream_health::addLatency(duration NewLatency, time_point Now) {
+  LatencyAt = Now;
+  if (Latency == duration{0}) {
+    Latency = NewLatency;
+    return;
+  }
+  auto Longest = std::chrono::duration_cast<duration>(Latency * LatencyClip);
+  duration Clipped = std::min(NewLatency, Longest);
+  Latency +=
+      std::chrono::duration_cast<duration>((Clipped - Latency) * LatencyWeight);
+}
--- /dev/null
+++ b/packages/core/masticproxy/src/Routing/upstream_health.h
@@ -0,0 +1,67 @@
+#ifndef MASTICPROXY_ROUTING_UPSTREAM_HEALTH_H
+#define MASTICPROXY_ROUTING_UPSTREAM_HEALTH_H
+
+#include "masticproxy/src/Base/clock.h"
+
+namespace masticproxy {
+
+/// \brief What this VM's own attempts have shown of one upstream.
+class upstream_health {
+public:
+  /// Notes an upstream first seen at \p Now, which starts slowly.
+  explicit upstream_health(time_point Now) : RampStart(Now) {}
+
+  /// Notes a result that came after \p Latency.
+  void answered(duration Latency, time_point Now);
+
+  /// Notes an attempt that was given up after \p Age without a result.
+  void abandoned(duration Age, time_point Now);
+
+  /// Notes that the upstream refused an attempt.
+  void refused(time_point Now);
+
+  /// Notes that a connection failed.
+  void failed(time_point Now);
+
+  /// Notes that the upstream drains: it gets nothing until \p Until.
+  void draining(time_point Until);
+
+  /// \returns whether the upstream has said that it is leaving.
+  bool isDraining(time_point Now) const { return Now < DrainUntil; }
+
+  /// \returns whether its connections have failed lately.
+  bool isSuspect(time_point Now) const { return Now < SuspectUntil; }
+
+  /// \returns whether it refused so shortly ago that asking again is of no
+  /// use.
+  bool isBackingOff(time_point Now) const;
+
+  /// \returns whether it has refused work lately.
+  bool isOverloaded(time_point Now) const;
+
+  /// \returns the connection failures since the last result.
+  unsigned failures() const { return Failures; }
+
+  /// \returns the mean latency; without new attempts it falls, so that a slow
+  /// upstream is tried again. Zero when nothing is known.
+  duration latency(time_point Now) const;
+
+  /// \returns the share of its usual work that it may get, in (0, 1]: small
+  /// after a start or a return.
+  double readiness(time_point Now) const;
+
+private:
+  void addLatency(duration Latency, time_point Now);
+
+  duration Latency{0};
+  time_point LatencyAt{};
+  time_point RampStart;
+  time_point RefusedAt{};
+  time_point SuspectUntil{};
+  time_point DrainUntil{};
+  unsigned Failures = 0;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Routing/waiting_list.h
@@ -0,0 +1,83 @@
+#ifndef MASTICPROXY_ROUTING_WAITING_LIST_H
+#define MASTICPROXY_ROUTING_WAITING_LIST_H
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace masticproxy {
+
+struct replica;
+
+/// \brief One shard of a request that waits for an attempt.
+struct waiting_shard {
+  std::uint64_t Ticket = 0;
+  std::size_t Shard = 0;
+
+  auto operator<=>(const waiting_shard &) const = default;
+};
+
+/// \brief Shards that wait for a place at one of their replicas, or for the
+/// load budget; in order of arrival.
+///
+/// A shard stands in the queue of each of its replicas, and counts once. The
+/// event of one upstream looks at the head of that upstream's queue only.
+class waiting_list {
+public:
+  /// Adds \p Shard, which waits for any of \p Replicas; instead of an earlier
+  /// wait of the same shard, if there is one.
+  void add(waiting_shard Shard, std::span<const replica> Replicas);
+
+  /// Adds \p Shard, which waits for the load budget.
+  void addForBudget(waiting_shard Shard);
+
+  /// Ends the wait of \p Shard, if it waits.
+  void drop(waiting_shard Shard) { Live.erase(Shard); }
+
+  /// Removes and \returns the first shard that waits for \p Upstream.
+  std::optional<waiting_shard> takeFor(std::string_view Upstream);
+
+  /// Removes and \returns the first shard that waits for the load budget.
+  std::optional<waiting_shard> takeForBudget() { return takeFirst(Budget); }
+
+  /// Removes and \returns the first shard of each upstream.
+  std::vector<waiting_shard> takeHeads();
+
+  /// \returns the number of waiting shards.
+  std::size_t size() const { return Live.size(); }
+
+  bool empty() const { return Live.empty(); }
+
+private:
+  struct entry {
+    waiting_shard Shard;
+    std::uint64_t Number = 0;
+  };
+  using queue = std::deque<entry>;
+
+  struct shard_hash {
+    std::size_t operator()(const waiting_shard &S) const;
+  };
+
+  std::uint64_t renew(waiting_shard Shard);
+  void push(queue &Queue, const entry &Entry);
+  bool isLive(const entry &Entry) const;
+  std::optional<waiting_shard> takeFirst(queue &Queue);
+
+  std::unordered_map<waiting_shard, std::uint64_t, shard_hash> Live;
+  std::map<std::string, queue, std::less<>> ByUpstream;
+  queue Budget;
+  std::uint64_t NextNumber = 1;
+};
+
+} // namespace masticproxy
+
+#endif
