Wire the routing policies into the query engine

The pauses for refusals and failed connections become the policy's; a drain still keeps all work off. query.policy selects adaptive or naive. attempts_total now has a label kind.

Ruled out: counting cancelled attempts as failures of their upstream, as the answer to a cancellation can't be told from a dead connection; their age is noted when they are cancelled.

--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -31,6 +31,8 @@
      "Longest body of a request, in bytes."},
     {"limits.caller_connections", value_kind::Integer, "4096", 1, 1000000, "",
      "Connections of callers open at a time."},
+    {"query.policy", value_kind::Choice, "\"adaptive\"", 0, 0, "adaptive|naive",
+     "How replicas are chosen; naive has no hedges and no load budget."},
     {"leave.balancer_lag", value_kind::Duration, "\"2s\"", 0, 600000, "",
      "How long requests are taken after SIGTERM, until the balancer knows."},
     {"leave.finish_within", value_kind::Duration, "\"10s\"", 0, 600000, "",
--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -47,6 +47,7 @@
   S.BodyBytes = static_cast<std::size_t>(Values.integer("limits.body_bytes"));
   S.CallerConnections =
       static_cast<std::size_t>(Values.integer("limits.caller_connections"));
+  S.QueryPolicy = Values.text("query.policy");
   S.BalancerLag = Values.span("leave.balancer_lag");
   S.FinishWithin = Values.span("leave.finish_within");
   S.LogLevel = Values.text("log.level");
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -24,6 +24,7 @@
   std::size_t Queries;
   std::size_t BodyBytes;
   std::size_t CallerConnections;
+  std::string QueryPolicy;
   std::chrono::milliseconds BalancerLag;
   std::chrono::milliseconds FinishWithin;
   std::string LogLevel;
--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/query_outcome.h"
+#include "masticproxy/src/Routing/attempt_kind.h"
 
 #include <memory>
 #include <string>
@@ -21,6 +22,7 @@
   std::string Shard;
   std::shared_ptr<const std::string> Body;
   time_point Deadline;
+  attempt_kind Kind = attempt_kind::First;
 };
 
 /// \brief Ask the upstream to stop an attempt whose result is not needed.
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -6,15 +6,6 @@
 
 namespace {
 
-/// How long an upstream that refused gets no new work.
-constexpr std::chrono::milliseconds RefusalPause{20};
-
-/// How long an upstream that is leaving gets no new work.
-constexpr std::chrono::seconds DrainPause{10};
-
-/// How long an upstream whose connection failed gets no new work.
-constexpr std::chrono::milliseconds ConnectPause{250};
-
 /// How often shards that wait for a place look for one again.
 constexpr std::chrono::milliseconds WaitingPoll{5};
 
@@ -22,7 +13,8 @@
 
 query_engine::query_engine(const clock &Clock, engine_limits Limits)
     : Clock(Clock), Limits(std::move(Limits)),
-      Catalogue(std::make_shared<const query_catalogue>()) {
+      Catalogue(std::make_shared<const query_catalogue>()),
+      Upstreams(makePolicy(this->Limits.Policy, this->Limits.Seed)) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
   Upstreams.setSharers(this->Limits.Sharers);
 }
@@ -31,6 +23,10 @@
 
 std::vector<engine_command> query_engine::handle(engine_event Event) {
   std::visit([this](auto E) { on(std::move(E)); }, std::move(Event));
+  Hedges.dropEnded([this](attempt_id Attempt) {
+    auto Found = Attempts.find(Attempt);
+    return Found != Attempts.end() && !Found->second.Cancelled;
+  });
   return std::exchange(Commands, {});
 }
 
@@ -40,6 +36,8 @@
   time_point Next = Deadlines.begin()->first;
   if (!Waiting.empty())
     Next = std::min(Next, Clock.now() + WaitingPoll);
+  if (std::optional<time_point> Hedge = Hedges.next())
+    Next = std::min(Next, *Hedge);
   return Next;
 }
 
@@ -70,36 +68,33 @@
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
+  noteEnd(*Record, /*Failure=*/nullptr);
   if (query_run *Run = findRun(*Record)) {
-    Run->attemptAnswered(Record->Shard, Event.Attempt, std::move(Event.Result));
+    bool Added = Run->attemptAnswered(Record->Shard, Event.Attempt,
+                                      std::move(Event.Result));
+    if (Added)
+      cancelOpen(*Run, Record->Shard);
     startShard(Record->Ticket, *Run, Record->Shard);
     finishIfOver(Record->Ticket);
   }
-  startWaiting();
+  startWaiting(Waiting.takeFor(Record->Upstream));
 }
 
 void query_engine::on(attempt_failed Event) {
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
-  time_point Now = Clock.now();
-  if (Event.Failure == attempt_failure::Refused)
-    Upstreams.avoid(Record->Upstream, Now + RefusalPause);
-  if (Event.Failure == attempt_failure::Draining)
-    Upstreams.avoid(Record->Upstream, Now + DrainPause);
-  if (Event.Failure == attempt_failure::NotSent ||
-      Event.Failure == attempt_failure::Unknown)
-    Upstreams.avoid(Record->Upstream, Now + ConnectPause);
-
+  noteEnd(*Record, &Event.Failure);
   if (query_run *Run = findRun(*Record)) {
     Run->attemptFailed(Record->Shard, Event.Attempt, Event.Failure);
-    if (Event.Failure == attempt_failure::SnapshotGone)
+    bool Gone = Event.Failure == attempt_failure::SnapshotGone;
+    if (Gone && !Record->Cancelled)
       restart(Record->Ticket, *Run);
     else
       startShard(Record->Ticket, *Run, Record->Shard);
     finishIfOver(Record->Ticket);
   }
-  startWaiting();
+  startWaiting(Waiting.takeFor(Record->Upstream));
 }
 
 void query_engine::on(catalogue_changed Event) {
@@ -110,7 +105,8 @@
   time_point Now = Clock.now();
   while (!Deadlines.empty() && Deadlines.begin()->first <= Now)
     finish(Runs.find(Deadlines.begin()->second));
-  startWaiting();
+  startAllWaiting();
+  hedgeDue();
 }
 
 void query_engine::on(leave_started) { Leaving = true; }
@@ -130,30 +126,98 @@
   if (!Chosen) {
     // Every replica was tried or is busy: let it ask each of them once more.
     Run.forgetTried(Shard);
-    Waiting.emplace_back(Ticket, Shard);
+    Waiting.add({Ticket, Shard}, Target.Replicas);
     return;
   }
+  bool Retry = Run.wasAttempted(Shard);
+  if (Retry && !Upstreams.takeRetry())
+    return Waiting.addForBudget({Ticket, Shard});
+  // A request that starts over does work anew, so it earns nothing.
+  if (!Retry && Run.generation() == 0)
+    Upstreams.firstAttempt();
+  send(Ticket, Run, Shard, *Chosen,
+       Retry ? attempt_kind::Retry : attempt_kind::First);
+}
+
+void query_engine::send(query_ticket Ticket, query_run &Run, std::size_t Shard,
+                        const replica &Target, attempt_kind Kind) {
   attempt_id Attempt = NextAttempt++;
-  Upstreams.attemptStarted(Chosen->Address);
-  Run.attemptStarted(Shard, Attempt, Chosen->Address);
-  Attempts.emplace(Attempt, attempt_record{Ticket, Shard, Run.generation(),
-                                           Chosen->Address});
-  Commands.push_back(send_attempt{Attempt, Run.requestId(), Chosen->Address,
-                                  Run.indexName(), Run.snapshot().Id, Target.Id,
-                                  Run.body(), Run.deadline()});
-}
-
-void query_engine::startWaiting() {
-  std::size_t Count = Waiting.size();
-  for (std::size_t I = 0; I < Count; ++I) {
-    auto [Ticket, Shard] = Waiting.front();
-    Waiting.pop_front();
-    auto Run = Runs.find(Ticket);
-    if (Run != Runs.end() && Shard < Run->second.snapshot().Shards.size())
-      startShard(Ticket, Run->second, Shard);
+  Upstreams.attemptStarted(Target.Address);
+  Run.attemptStarted(Shard, Attempt, Target.Address);
+  auto Added = Attempts.emplace(
+      Attempt,
+      attempt_record{Ticket, Shard, Run.generation(), Target.Address,
+                     Run.indexName(), Kind, Clock.now(), /*Cancelled=*/false});
+  if (Run.rules().MayRepeat && Kind != attempt_kind::Hedge)
+    scheduleHedge(Attempt, Added.first->second);
+  Commands.push_back(send_attempt{Attempt, Run.requestId(), Target.Address,
+                                  Run.indexName(), Run.snapshot().Id,
+                                  Run.snapshot().Shards[Shard].Id, Run.body(),
+                                  Run.deadline(), Kind});
+}
+
+void query_engine::startWaiting(std::optional<waiting_shard> Next) {
+  if (!Next)
+    return;
+  auto Run = Runs.find(Next->Ticket);
+  if (Run != Runs.end() && Next->Shard < Run->second.snapshot().Shards.size())
+    startShard(Next->Ticket, Run->second, Next->Shard);
+}
+
+void query_engine::startAllWaiting() {
+  for (waiting_shard Next : Waiting.takeHeads())
+    startWaiting(Next);
+  while (Upstreams.hasRetry()) {
+    std::optional<waiting_shard> Next = Waiting.takeForBudget();
+    if (!Next)
+      return;
+    startWaiting(Next);
   }
 }
 
+void query_engine::scheduleHedge(attempt_id Attempt,
+                                 const attempt_record &Record) {
+  if (std::optional<duration> Delay = Upstreams.hedgeDelay(Record.Index))
+    Hedges.add(Clock.now() + *Delay, Attempt);
+}
+
+void query_engine::hedgeDue() {
+  while (std::optional<attempt_id> Due = Hedges.takeDue(Clock.now())) {
+    auto Found = Attempts.find(*Due);
+    if (Found != Attempts.end() && !Found->second.Cancelled)
+      hedge(*Due, attempt_record(Found->second));
+  }
+}
+
+void query_engine::hedge(attempt_id Attempt, const attempt_record &Record) {
+  query_run *Run = findRun(Record);
+  if (!Run || !Run->mayHedge(Record.Shard))
+    return;
+  const shard &Target = Run->snapshot().Shards[Record.Shard];
+  const replica *Chosen = Upstreams.chooseHedge(
+      Target.Replicas, Run->tried(Record.Shard), Clock.now());
+  if (Chosen && Upstreams.takeHedge())
+    return send(Record.Ticket, *Run, Record.Shard, *Chosen,
+                attempt_kind::Hedge);
+  // No replica or no budget at this instant: look again later.
+  scheduleHedge(Attempt, Record);
+}
+
+void query_engine::noteEnd(const attempt_record &Record,
+                           const attempt_failure *Failure) {
+  time_point Now = Clock.now();
+  // What a cancelled attempt ends with tells nothing of its upstream; its age
+  // was noted when it was cancelled.
+  if (Record.Cancelled)
+    return;
+  attempt_facts Facts{Record.Upstream, Record.Index, Record.Kind,
+                      Now - Record.SentAt};
+  if (Failure)
+    Upstreams.failed(Facts, *Failure, Now);
+  else
+    Upstreams.answered(Facts, Now);
+}
+
 std::optional<query_engine::attempt_record>
 query_engine::endAttempt(attempt_id Attempt) {
   auto Found = Attempts.find(Attempt);
@@ -196,13 +260,31 @@
   Commands.push_back(
       deliver_outcome{Run->first, RequestId, Run->second.finish()});
   cancelOpen(Run->second);
+  for (std::size_t I = 0; I < Run->second.snapshot().Shards.size(); ++I)
+    Waiting.drop({Run->first, I});
   Runs.erase(Run);
 }
 
 void query_engine::cancelOpen(query_run &Run) {
   for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
-    for (attempt_id Attempt : Run.openAttempts(I))
-      Commands.push_back(cancel_attempt{Attempt});
+    cancelOpen(Run, I);
+}
+
+void query_engine::cancelOpen(query_run &Run, std::size_t Shard) {
+  for (attempt_id Attempt : Run.openAttempts(Shard))
+    cancel(Attempt);
+}
+
+void query_engine::cancel(attempt_id Attempt) {
+  auto Found = Attempts.find(Attempt);
+  if (Found == Attempts.end() || Found->second.Cancelled)
+    return;
+  attempt_record &Record = Found->second;
+  Record.Cancelled = true;
+  time_point Now = Clock.now();
+  Upstreams.abandoned(
+      {Record.Upstream, Record.Index, Record.Kind, Now - Record.SentAt}, Now);
+  Commands.push_back(cancel_attempt{Attempt});
 }
 
 void query_engine::refuse(const query_arrived &Request, query_outcome Outcome) {
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -6,8 +6,11 @@
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/query_run.h"
 #include "masticproxy/src/Query/upstream_table.h"
+#include "masticproxy/src/Routing/attempt_kind.h"
+#include "masticproxy/src/Routing/hedge_schedule.h"
+#include "masticproxy/src/Routing/routing_policy.h"
+#include "masticproxy/src/Routing/waiting_list.h"
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
@@ -26,6 +29,10 @@
   unsigned Sharers = 1;
   /// Data centre of this VM; upstreams of others are not spoken to.
   std::string DataCentre;
+  /// How attempts are placed, hedged and retried.
+  policy_name Policy = policy_name::Adaptive;
+  /// Fixes the policy's draws.
+  unsigned Seed = 1;
 };
 
 /// \brief Decides all that happens to the requests of one VM.
@@ -56,6 +63,11 @@
     std::size_t Shard = 0;
     unsigned Generation = 0;
     std::string Upstream;
+    std::string Index;
+    attempt_kind Kind = attempt_kind::First;
+    time_point SentAt{};
+    /// The result is no longer needed.
+    bool Cancelled = false;
   };
   using run_map = std::unordered_map<query_ticket, query_run>;
 
@@ -68,13 +80,22 @@
 
   void startShards(query_ticket Ticket, query_run &Run);
   void startShard(query_ticket Ticket, query_run &Run, std::size_t Shard);
-  void startWaiting();
+  void send(query_ticket Ticket, query_run &Run, std::size_t Shard,
+            const replica &Target, attempt_kind Kind);
+  void startWaiting(std::optional<waiting_shard> Next);
+  void startAllWaiting();
+  void hedgeDue();
+  void hedge(attempt_id Attempt, const attempt_record &Record);
+  void scheduleHedge(attempt_id Attempt, const attempt_record &Record);
+  void noteEnd(const attempt_record &Record, const attempt_failure *Failure);
+  void cancel(attempt_id Attempt);
   std::optional<attempt_record> endAttempt(attempt_id Attempt);
   query_run *findRun(const attempt_record &Record);
   void restart(query_ticket Ticket, query_run &Run);
   void finishIfOver(query_ticket Ticket);
   void finish(run_map::iterator Run);
   void cancelOpen(query_run &Run);
+  void cancelOpen(query_run &Run, std::size_t Shard);
   void refuse(const query_arrived &Request, query_outcome Outcome);
 
   const clock &Clock;
@@ -83,7 +104,8 @@
   upstream_table Upstreams;
   run_map Runs;
   std::unordered_map<attempt_id, attempt_record> Attempts;
-  std::deque<std::pair<query_ticket, std::size_t>> Waiting;
+  waiting_list Waiting;
+  hedge_schedule Hedges;
   std::set<std::pair<time_point, query_ticket>> Deadlines;
   std::vector<engine_command> Commands;
   attempt_id NextAttempt = 1;
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -21,10 +21,16 @@
   return Profile.MayRepeat || !State.MayHaveRun;
 }
 
+bool query_run::mayHedge(std::size_t Shard) const {
+  bool OneOpen = Shards[Shard].Open.size() == 1;
+  return Profile.MayRepeat && OneOpen && !Partial.has(Shard);
+}
+
 void query_run::attemptStarted(std::size_t Shard, attempt_id Attempt,
                                std::string Upstream) {
   Shards[Shard].Tried.push_back(std::move(Upstream));
   Shards[Shard].Open.push_back(Attempt);
+  Shards[Shard].Attempted = true;
 }
 
 bool query_run::attemptAnswered(std::size_t Shard, attempt_id Attempt,
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -39,6 +39,12 @@
   /// open attempt, and a further attempt is allowed.
   bool wantsAttempt(std::size_t Shard) const;
 
+  /// \returns whether the shard has been attempted on the pinned snapshot.
+  bool wasAttempted(std::size_t Shard) const { return Shards[Shard].Attempted; }
+
+  /// \returns whether a second attempt may run beside the only open one.
+  bool mayHedge(std::size_t Shard) const;
+
   /// \returns the upstreams already tried for a shard.
   std::span<const std::string> tried(std::size_t Shard) const {
     return Shards[Shard].Tried;
@@ -91,6 +97,7 @@
   struct shard_state {
     std::vector<std::string> Tried;
     std::vector<attempt_id> Open;
+    bool Attempted = false;
     /// An attempt may have run and gave no result.
     bool MayHaveRun = false;
   };
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -1,41 +1,57 @@
 #include "masticproxy/src/Query/upstream_table.h"
 
+#include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/index_map.h"
 
 #include <algorithm>
 
 using namespace masticproxy;
 
+namespace {
+
+/// How long an upstream that is leaving gets no new work.
+constexpr std::chrono::seconds DrainPause{10};
+
+} // namespace
+
 const replica *upstream_table::choose(std::span<const replica> Replicas,
                                       std::span<const std::string> Tried,
-                                      time_point Now) const {
-  const replica *Best = nullptr;
-  unsigned BestLoad = 0;
-  for (const replica &Candidate : Replicas) {
-    if (std::find(Tried.begin(), Tried.end(), Candidate.Address) != Tried.end())
-      continue;
-    if (Candidate.DataCentre != DataCentre)
-      continue;
-    auto Found = States.find(Candidate.Address);
-    unsigned Load = 0;
-    if (Found != States.end()) {
-      if (Now < Found->second.AvoidUntil)
-        continue;
-      Load = Found->second.InFlight;
-    }
-    if (Load >= placesAt(Candidate))
-      continue;
-    if (!Best || Load < BestLoad) {
-      Best = &Candidate;
-      BestLoad = Load;
-    }
-  }
-  return Best;
+                                      time_point Now) {
+  std::vector<candidate> Set = candidates(Replicas, Tried, Now);
+  return std::visit([&](auto &P) { return P.choose(Set, Now); }, Policy);
+}
+
+const replica *upstream_table::chooseHedge(std::span<const replica> Replicas,
+                                           std::span<const std::string> Tried,
+                                           time_point Now) {
+  std::vector<candidate> Set = candidates(Replicas, Tried, Now);
+  return std::visit([&](auto &P) { return P.chooseHedge(Set, Now); }, Policy);
+}
+
+std::optional<duration>
+upstream_table::hedgeDelay(std::string_view Index) const {
+  return std::visit([Index](const auto &P) { return P.hedgeDelay(Index); },
+                    Policy);
+}
+
+void upstream_table::firstAttempt() {
+  std::visit([](auto &P) { P.firstAttempt(); }, Policy);
+}
+
+bool upstream_table::takeHedge() {
+  return std::visit([](auto &P) { return P.takeHedge(); }, Policy);
+}
+
+bool upstream_table::takeRetry() {
+  return std::visit([](auto &P) { return P.takeRetry(); }, Policy);
+}
+
+bool upstream_table::hasRetry() const {
+  return std::visit([](const auto &P) { return P.hasRetry(); }, Policy);
 }
 
 void upstream_table::attemptStarted(std::string_view Upstream) {
-  auto Found = States.try_emplace(std::string(Upstream)).first;
-  ++Found->second.InFlight;
+  ++stateOf(Upstream, time_point{}).InFlight;
 }
 
 void upstream_table::attemptEnded(std::string_view Upstream) {
@@ -44,9 +60,30 @@
     --Found->second.InFlight;
 }
 
-void upstream_table::avoid(std::string_view Upstream, time_point Until) {
-  auto Found = States.try_emplace(std::string(Upstream)).first;
-  Found->second.AvoidUntil = Until;
+void upstream_table::answered(const attempt_facts &Attempt, time_point Now) {
+  stateOf(Attempt.Upstream, Now).Health.answered(Attempt.Age, Now);
+  observe(Attempt);
+}
+
+void upstream_table::failed(const attempt_facts &Attempt,
+                            attempt_failure Failure, time_point Now) {
+  upstream_health &Health = stateOf(Attempt.Upstream, Now).Health;
+  switch (Failure) {
+  case attempt_failure::Refused:
+    return Health.refused(Now);
+  case attempt_failure::Draining:
+    return Health.draining(Now + DrainPause);
+  case attempt_failure::NotSent:
+  case attempt_failure::Unknown:
+    return Health.failed(Now);
+  case attempt_failure::SnapshotGone:
+    return;
+  }
+}
+
+void upstream_table::abandoned(const attempt_facts &Attempt, time_point Now) {
+  stateOf(Attempt.Upstream, Now).Health.abandoned(Attempt.Age, Now);
+  observe(Attempt);
 }
 
 unsigned upstream_table::inFlight(std::string_view Upstream) const {
@@ -54,6 +91,39 @@
   return Found == States.end() ? 0 : Found->second.InFlight;
 }
 
-unsigned upstream_table::placesAt(const replica &Replica) const {
-  return std::max(1U, Replica.Connections / Sharers);
+std::vector<candidate>
+upstream_table::candidates(std::span<const replica> Replicas,
+                           std::span<const std::string> Tried, time_point Now) {
+  std::vector<candidate> Set;
+  for (const replica &Replica : Replicas) {
+    if (Replica.DataCentre != DataCentre)
+      continue;
+    upstream_state &State = stateOf(Replica.Address, Now);
+    bool WasTried =
+        std::find(Tried.begin(), Tried.end(), Replica.Address) != Tried.end();
+    Set.push_back({&Replica, &State.Health, State.InFlight,
+                   shareOf(Replica.Connections), shareOf(Replica.Slots),
+                   WasTried});
+  }
+  return Set;
+}
+
+upstream_table::upstream_state &
+upstream_table::stateOf(std::string_view Upstream, time_point Now) {
+  auto Found = States.find(Upstream);
+  if (Found == States.end())
+    Found = States.emplace(std::string(Upstream), upstream_state(Now)).first;
+  return Found->second;
+}
+
+unsigned upstream_table::shareOf(unsigned Whole) const {
+  return std::max(1U, Whole / Sharers);
+}
+
+void upstream_table::observe(const attempt_facts &Attempt) {
+  // A hedge that loses is given up early, so that hedges would make the
+  // latencies look shorter than they are.
+  if (Attempt.Kind == attempt_kind::Hedge)
+    return;
+  std::visit([&](auto &P) { P.observe(Attempt.Index, Attempt.Age); }, Policy);
 }
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -2,21 +2,30 @@
 #define MASTICPROXY_QUERY_UPSTREAM_TABLE_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Routing/attempt_facts.h"
+#include "masticproxy/src/Routing/candidate.h"
+#include "masticproxy/src/Routing/routing_policy.h"
+#include "masticproxy/src/Routing/upstream_health.h"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace masticproxy {
 
 struct replica;
+enum class attempt_failure;
 
-/// \brief What this VM has observed of each upstream, and how many attempts
-/// it has open there.
+/// \brief What this VM has observed of each upstream, how many attempts it has
+/// open there, and the policy that decides by both.
 class upstream_table {
 public:
+  explicit upstream_table(routing_policy Policy) : Policy(std::move(Policy)) {}
+
   /// Sets the data centre whose upstreams may be chosen.
   void setDataCentre(std::string Name) { DataCentre = std::move(Name); }
 
@@ -26,8 +35,27 @@
   /// \returns the best replica with a free place that is not in \p Tried and
   /// not draining, or null.
   const replica *choose(std::span<const replica> Replicas,
-                        std::span<const std::string> Tried,
-                        time_point Now) const;
+                        std::span<const std::string> Tried, time_point Now);
+
+  /// \returns the same for a hedge, or null where none may be sent.
+  const replica *chooseHedge(std::span<const replica> Replicas,
+                             std::span<const std::string> Tried,
+                             time_point Now);
+
+  /// \returns how long an attempt at \p Index is out before it is hedged.
+  std::optional<duration> hedgeDelay(std::string_view Index) const;
+
+  /// Notes a first attempt at a shard, which earns a share of a further one.
+  void firstAttempt();
+
+  /// \returns whether the load budget pays for a hedge.
+  bool takeHedge();
+
+  /// \returns whether the load budget pays for a retry.
+  bool takeRetry();
+
+  /// \returns whether takeRetry() would pay for one.
+  bool hasRetry() const;
 
   /// Takes a place at \p Upstream.
   void attemptStarted(std::string_view Upstream);
@@ -35,20 +63,35 @@
   /// Gives the place at \p Upstream back.
   void attemptEnded(std::string_view Upstream);
 
-  /// Keeps new work off \p Upstream until \p Until.
-  void avoid(std::string_view Upstream, time_point Until);
+  /// Notes that an attempt had a result.
+  void answered(const attempt_facts &Attempt, time_point Now);
+
+  /// Notes that an attempt ended with \p Failure.
+  void failed(const attempt_facts &Attempt, attempt_failure Failure,
+              time_point Now);
+
+  /// Notes that an attempt was given up.
+  void abandoned(const attempt_facts &Attempt, time_point Now);
 
   /// \returns the attempts open at \p Upstream.
   unsigned inFlight(std::string_view Upstream) const;
 
 private:
   struct upstream_state {
+    explicit upstream_state(time_point Now) : Health(Now) {}
+
     unsigned InFlight = 0;
-    time_point AvoidUntil{};
+    upstream_health Health;
   };
 
-  unsigned placesAt(const replica &Replica) const;
+  std::vector<candidate> candidates(std::span<const replica> Replicas,
+                                    std::span<const std::string> Tried,
+                                    time_point Now);
+  upstream_state &stateOf(std::string_view Upstream, time_point Now);
+  unsigned shareOf(unsigned Whole) const;
+  void observe(const attempt_facts &Attempt);
 
+  routing_policy Policy;
   std::string DataCentre;
   unsigned Sharers = 1;
   std::map<std::string, upstream_state, std::less<>> States;
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -22,6 +22,18 @@
   std::string_view operator()(const unknown_index &) { return "unknown_index"; }
 };
 
+std::string_view kindLabel(attempt_kind Kind) {
+  switch (Kind) {
+  case attempt_kind::First:
+    return "kind=\"first\"";
+  case attempt_kind::Retry:
+    return "kind=\"retry\"";
+  case attempt_kind::Hedge:
+    return "kind=\"hedge\"";
+  }
+  return "kind=\"unknown\"";
+}
+
 } // namespace
 
 engine_thread::engine_thread(const clock &Clock, engine_limits Limits,
@@ -75,7 +87,7 @@
 }
 
 void engine_thread::carryOut(const send_attempt &Command) {
-  Counters.get("attempts_total").add();
+  Counters.get("attempts_total", kindLabel(Command.Kind)).add();
   Events.add("attempt_sent", Command.RequestId,
              Command.Shard + " to " + Command.Upstream);
   attempt_id Attempt = Command.Attempt;
