Look up the job of an expired timer in the upstream's stand-in

Cause: a timer that has expired but whose handler has not run yet can't be cancelled: the handler came without an error and used a job already erased by a cancellation or a death. The address sanitizer named it (use after free in finish(), freed in die()); hedges make cancellations frequent enough to hit it.

Change: the handler looks its job up by its timer and does nothing when the job is gone.

Before: the stand-in crashed in a run of 24 s under load with deaths. After: a sanitized run of the same script ended without a report.

--- a/packages/testing/masticproxy/src/StandIns/upstream_stub.cpp
+++ b/packages/testing/masticproxy/src/StandIns/upstream_stub.cpp
@@ -144,13 +144,17 @@
 void upstream_stub::run(job Job) {
   ++Runs[header(Job.Request, "x-request-id")];
   bool Poison = Job.Request.Body.find(PoisonMark) != std::string::npos;
-  Job.Timer = std::make_shared<boost::asio::steady_timer>(Context);
-  Job.Timer->expires_after(serviceTime());
+  auto Timer = std::make_shared<boost::asio::steady_timer>(Context);
+  Timer->expires_after(serviceTime());
+  Job.Timer = Timer;
   Running.push_back(std::move(Job));
-  auto Position = std::prev(Running.end());
-  Position->Timer->async_wait([this, Position, Poison, Timer = Position->Timer](
-                                  const boost::system::error_code &Error) {
-    if (Error)
+  Timer->async_wait([this, Poison, Timer](const boost::system::error_code &) {
+    // A timer that had expired before it was cancelled still comes here
+    // without an error, so the job itself has to be looked for.
+    auto Position =
+        std::find_if(Running.begin(), Running.end(),
+                     [&](const job &Other) { return Other.Timer == Timer; });
+    if (Position == Running.end())
       return;
     if (Poison)
       die();
