--- a/packages/testing/masticproxy/src/StandIns/load_run.cpp
+++ b/packages/testing/masticproxy/src/StandIns/load_run.cpp
@@ -137,5 +137,7 @@
                          {"p99_ms", quantileMs(Sorted, 0.99)},
                          {"p999_ms", quantileMs(Sorted, 0.999)},
                          {"max_ms", quantileMs(Sorted, 1.0)}};
+  if (Plan.Samples)
+    Root["latencies_us"] = Result.Latencies;
   return Root.dump(2) + "\n";
 }
--- a/packages/testing/masticproxy/src/StandIns/load_run.h
+++ b/packages/testing/masticproxy/src/StandIns/load_run.h
@@ -21,6 +21,8 @@
   double Rate = 100;
   std::chrono::milliseconds Length{5000};
   std::chrono::milliseconds Timeout{5000};
+  /// Whether the figures hold every latency, so that runs can be pooled.
+  bool Samples = false;
 };
 
 /// \brief What a load run saw.
--- a/packages/testing/programs/load_main.cpp
+++ b/packages/testing/programs/load_main.cpp
@@ -15,7 +15,8 @@
 
 constexpr const char *Usage =
     "usage: masticproxy_load --targets ADDRESS[,ADDRESS...] --index NAME\n"
-    "  --profile NAME [--rate PER_SECOND] [--length-ms N] [--body TEXT]\n";
+    "  --profile NAME [--rate PER_SECOND] [--length-ms N] [--body TEXT]\n"
+    "  [--samples]\n";
 
 std::vector<std::string> split(const std::string &Text) {
   std::vector<std::string> Parts;
@@ -32,6 +33,7 @@
                                  {"rate", required_argument, nullptr, 'r'},
                                  {"length-ms", required_argument, nullptr, 'l'},
                                  {"body", required_argument, nullptr, 'b'},
+                                 {"samples", no_argument, nullptr, 's'},
                                  {nullptr, 0, nullptr, 0}};
   load_plan Plan;
   int Found = 0;
@@ -55,6 +57,9 @@
     case 'b':
       Plan.Body = optarg;
       break;
+    case 's':
+      Plan.Samples = true;
+      break;
     default:
       throw std::invalid_argument(Usage);
     }
