Honour a drain that a cancelled attempt reports

Cause: what a cancelled attempt ended with was passed over as a whole, so that an upstream which answered it with 'draining' went on getting work. The property of the query engine found it.

Change: a drain counts whatever became of the attempt; other ends of a cancelled attempt still tell nothing.

--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -206,9 +206,9 @@
 void query_engine::noteEnd(const attempt_record &Record,
                            const attempt_failure *Failure) {
   time_point Now = Clock.now();
-  // What a cancelled attempt ends with tells nothing of its upstream; its age
-  // was noted when it was cancelled.
-  if (Record.Cancelled)
+  // What a cancelled attempt ends with tells nothing of its upstream but that
+  // it drains; its age was noted when it was cancelled.
+  if (Record.Cancelled && !(Failure && *Failure == attempt_failure::Draining))
     return;
   attempt_facts Facts{Record.Upstream, Record.Index, Record.Kind,
                       Now - Record.SentAt};
