--- a/packages/config/tests/settings_test.cpp
+++ b/packages/config/tests/settings_test.cpp
@@ -36,6 +36,7 @@
   cr_assert(Settings.Name == "vm-1");
   cr_assert(Settings.PlatformCallTimeout == std::chrono::seconds(2));
   cr_assert(Settings.Queries == 1024);
+  cr_assert(Settings.QueryPolicy == "adaptive");
 }
 
 Test(settings, name_every_required_key_of_an_empty_file) {
--- /dev/null
+++ b/packages/core/tests/adaptive_policy_test.cpp
@@ -0,0 +1,102 @@
+/// \file
+/// How the adaptive policy places attempts and hedges.
+
+#include "manual_clock.h"
+#include "masticproxy/Query"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace masticproxy;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// An upstream table over one set of three replicas.
+struct table_fixture {
+  table_fixture() { Table.setDataCentre("dc1"); }
+
+  /// \returns how many of 1000 choices fall on each replica.
+  std::map<std::string, int> choices() {
+    std::map<std::string, int> Counts;
+    for (int I = 0; I < 1000; ++I)
+      if (const replica *Chosen = Table.choose(Set, {}, Clock.now()))
+        ++Counts[Chosen->Address];
+    return Counts;
+  }
+
+  void answer(const std::string &Upstream, milliseconds Latency) {
+    Table.answered({Upstream, "i", attempt_kind::First, Latency}, Clock.now());
+  }
+
+  void fail(const std::string &Upstream, attempt_failure Failure) {
+    Table.failed({Upstream, "i"}, Failure, Clock.now());
+  }
+
+  bool mayHedge() {
+    std::vector<std::string> Tried{"a"};
+    return Table.chooseHedge(Set, Tried, Clock.now()) != nullptr;
+  }
+
+  manual_clock Clock;
+  upstream_table Table{makePolicy(policy_name::Adaptive, 1)};
+  std::vector<replica> Set{
+      {"a", "dc1", 3, 9}, {"b", "dc1", 3, 9}, {"c", "dc1", 3, 9}};
+};
+
+} // namespace
+
+Test(adaptive_policy, turns_from_a_slow_replica_and_tries_it_again) {
+  table_fixture F;
+  F.answer("a", milliseconds(50));
+  F.answer("b", milliseconds(5));
+  F.answer("c", milliseconds(5));
+  cr_assert(F.choices()["a"] == 0);
+  F.Clock.advance(seconds(5));
+  F.answer("b", milliseconds(5));
+  F.answer("c", milliseconds(5));
+  cr_assert(F.choices()["a"] > 0);
+}
+
+Test(adaptive_policy, ejects_one_of_three_and_lets_it_return_slowly) {
+  table_fixture F;
+  F.choices();
+  F.Clock.advance(seconds(10));
+  F.fail("a", attempt_failure::NotSent);
+  cr_assert(F.choices()["a"] == 0);
+  F.Clock.advance(seconds(1));
+  F.answer("a", milliseconds(5));
+  int AtReturn = F.choices()["a"];
+  cr_assert(AtReturn > 0 && AtReturn < 150);
+  F.Clock.advance(seconds(10));
+  cr_assert(F.choices()["a"] > 250);
+}
+
+Test(adaptive_policy, hedges_into_no_overloaded_set) {
+  table_fixture F;
+  cr_assert(F.mayHedge());
+  F.fail("b", attempt_failure::Refused);
+  cr_assert(F.mayHedge());
+  F.fail("a", attempt_failure::Refused);
+  cr_assert_not(F.mayHedge());
+}
+
+Test(adaptive_policy, hedges_into_no_replica_whose_slots_are_taken) {
+  table_fixture F;
+  for (const char *Upstream : {"b", "b", "b", "c", "c", "c"})
+    F.Table.attemptStarted(Upstream);
+  cr_assert_not(F.mayHedge());
+  F.Table.attemptEnded("c");
+  cr_assert(F.mayHedge());
+}
+
+Test(adaptive_policy, hedges_later_than_nearly_all_attempts) {
+  table_fixture F;
+  cr_assert_not(F.Table.hedgeDelay("i").has_value());
+  for (int I = 1; I <= 160; ++I)
+    F.answer("a", milliseconds(1 + I % 100));
+  auto Delay = F.Table.hedgeDelay("i");
+  cr_assert(Delay && *Delay > milliseconds(90) && *Delay < milliseconds(115));
+}
--- /dev/null
+++ b/packages/core/tests/engine_audit.h
@@ -0,0 +1,111 @@
+#ifndef MASTICPROXY_TESTS_ENGINE_AUDIT_H
+#define MASTICPROXY_TESTS_ENGINE_AUDIT_H
+
+#include "masticproxy/Query"
+
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace masticproxy {
+
+/// \brief Checks all commands of a query engine against what must always
+/// hold; knows nothing of how the engine decides.
+class engine_audit {
+public:
+  explicit engine_audit(const clock &Clock) : Clock(Clock) {}
+
+  void arrived(const std::string &Request, bool MayRepeat) {
+    Requests[Request].MayRepeat = MayRepeat;
+  }
+
+  void check(const std::vector<engine_command> &Commands) {
+    for (const engine_command &Command : Commands)
+      std::visit([this](const auto &C) { on(C); }, Command);
+  }
+
+  /// Takes the open attempt at \p Position, which ends with \p Ran if it may
+  /// have run.
+  send_attempt end(std::size_t Position, bool Ran) {
+    send_attempt Ended = Open[Position];
+    Open.erase(Open.begin() + static_cast<std::ptrdiff_t>(Position));
+    --Under[{Ended.RequestId, Ended.Shard}].Open;
+    if (Ran)
+      Under[{Ended.RequestId, Ended.Shard}].MayHaveRun = true;
+    return Ended;
+  }
+
+  void draining(const std::string &Upstream) {
+    DrainedUntil[Upstream] = Clock.now() + DrainTime;
+  }
+
+  void checkAllOver() const {
+    for (const auto &[Name, Request] : Requests)
+      RC_ASSERT(Request.Outcomes == 1);
+  }
+
+  std::size_t open() const { return Open.size(); }
+  std::size_t hedges() const { return Kinds.at(attempt_kind::Hedge); }
+
+private:
+  /// Time without new work after an upstream says that it drains.
+  static constexpr std::chrono::seconds DrainTime{10};
+
+  struct request_state {
+    bool MayRepeat = false;
+    int Outcomes = 0;
+  };
+  struct shard_state {
+    int Open = 0;
+    bool MayHaveRun = false;
+  };
+
+  void on(const send_attempt &Sent) {
+    const request_state &Request = Requests.at(Sent.RequestId);
+    RC_ASSERT(Request.Outcomes == 0);
+    shard_state &Shard = Under[{Sent.RequestId, Sent.Shard}];
+    if (!Request.MayRepeat)
+      RC_ASSERT(Shard.Open == 0 && !Shard.MayHaveRun);
+    ++Shard.Open;
+    RC_ASSERT(Clock.now() >= DrainedUntil[Sent.Upstream]);
+    ++Kinds[Sent.Kind];
+    checkBudget();
+    Open.push_back(Sent);
+  }
+
+  void on(const cancel_attempt &) {}
+
+  void on(const deliver_outcome &Delivered) {
+    RC_ASSERT(++Requests.at(Delivered.RequestId).Outcomes == 1);
+    if (std::holds_alternative<not_run>(Delivered.Outcome))
+      for (const auto &[Key, Shard] : Under)
+        if (Key.first == Delivered.RequestId)
+          RC_ASSERT(Shard.Open == 0 && !Shard.MayHaveRun);
+  }
+
+  void checkBudget() {
+    const load_budget_limits Limits;
+    auto First = static_cast<double>(Kinds[attempt_kind::First]);
+    auto Hedges = static_cast<double>(Kinds[attempt_kind::Hedge]);
+    auto Retries = static_cast<double>(Kinds[attempt_kind::Retry]);
+    // A first attempt has been counted before what it earns is spent.
+    RC_ASSERT(Hedges <= Limits.Initial + Limits.OrdinaryShare * First);
+    RC_ASSERT(Hedges + Retries <=
+              2 * Limits.Initial +
+                  (Limits.OrdinaryShare + Limits.FaultShare) * First);
+  }
+
+  const clock &Clock;
+  std::map<std::string, request_state> Requests;
+  std::map<std::pair<std::string, std::string>, shard_state> Under;
+  std::map<std::string, time_point> DrainedUntil;
+  std::map<attempt_kind, std::size_t> Kinds{{attempt_kind::Hedge, 0}};
+  std::vector<send_attempt> Open;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/tests/load_budget_test.cpp
@@ -0,0 +1,93 @@
+/// \file
+/// Hedges and retries never exceed their shares of the first attempts.
+
+#include "draws.h"
+#include "masticproxy/Routing"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+using namespace masticproxy;
+
+namespace {
+
+/// What was granted up to one step of a schedule.
+struct granted {
+  double First = 0;
+  double Hedges = 0;
+  double Retries = 0;
+};
+
+/// Grants at most what was earned since \p From and may have been saved.
+void checkSpan(const granted &From, const granted &To, double Saved) {
+  const load_budget_limits Limits;
+  double First = To.First - From.First;
+  double Hedges = To.Hedges - From.Hedges;
+  double All = Hedges + To.Retries - From.Retries;
+  // Sums of shares are not exact.
+  constexpr double Rounding = 1e-6;
+  RC_ASSERT(Hedges <= Saved + Limits.OrdinaryShare * First + Rounding);
+  RC_ASSERT(All <= 2 * Saved +
+                       (Limits.OrdinaryShare + Limits.FaultShare) * First +
+                       Rounding);
+}
+
+/// Runs generated schedules in bursts; checks each span between two bursts.
+template <typename Budget> bool holds() {
+  return rc::check([] {
+    const load_budget_limits Limits;
+    Budget Tested;
+    std::vector<granted> Steps{{}};
+    for (int Burst = draw(1, 12); Burst > 0; --Burst) {
+      granted Now = Steps.back();
+      int Kind = draw(0, 4);
+      for (int Left = draw(0, 1000); Left > 0; --Left) {
+        if (Kind == 0 || Kind == 1) {
+          Tested.firstAttempt();
+          ++Now.First;
+        } else if (Kind == 2) {
+          Now.Hedges += Tested.takeHedge() ? 1 : 0;
+        } else {
+          Now.Retries += Tested.takeRetry() ? 1 : 0;
+        }
+      }
+      checkSpan(Steps.front(), Now, Limits.Initial);
+      for (const granted &From : Steps)
+        checkSpan(From, Now, Limits.Capacity);
+      Steps.push_back(Now);
+    }
+  });
+}
+
+/// A broken budget that pays hedges out of the part for faults.
+struct hedging_from_faults : load_budget {
+  bool takeHedge() { return takeRetry(); }
+};
+
+/// A broken budget that takes refusals for free.
+struct free_retries : load_budget {
+  bool takeRetry() { return true; }
+};
+
+/// A broken budget that saves without bound.
+struct saving_all : load_budget {
+  saving_all() : load_budget({.Capacity = 1e9}) {}
+};
+
+} // namespace
+
+Test(load_budget, stays_within_its_shares) { cr_assert(holds<load_budget>()); }
+
+Test(load_budget, the_property_catches_hedges_paid_by_faults) {
+  cr_assert_not(holds<hedging_from_faults>());
+}
+
+Test(load_budget, the_property_catches_free_retries) {
+  cr_assert_not(holds<free_retries>());
+}
+
+Test(load_budget, the_property_catches_savings_without_bound) {
+  cr_assert_not(holds<saving_all>());
+}
