--- a/tools/measure_tail.sh
+++ b/tools/measure_tail.sh
@@ -3,7 +3,7 @@
 # stand-ins: calm, with stragglers, and with one replica of each shard lost.
 # usage: measure_tail.sh [BUILD_FOLDER]
 # Environment: FIRST_PORT (100 ports), RATE (requests a second), LENGTH_MS and
-# ROUNDS (of each policy under each condition).
+# ROUNDS (of each policy under each condition), CONDITIONS (which of them).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BIN=$PWD/${1:-build/release}/bin
@@ -11,6 +11,7 @@
 RATE=${RATE:-120}
 LENGTH_MS=${LENGTH_MS:-5000}
 ROUNDS=${ROUNDS:-3}
+CONDITIONS=${CONDITIONS:-calm stragglers replica_lost}
 SHARDS=10
 REPLICAS=3
 UPSTREAMS_PORT=$((FIRST_PORT + 40))
@@ -150,7 +151,7 @@
 for POLICY in adaptive naive; do
   load "$POLICY" "$(targets "$POLICY")" "$FOLDER/warm" 3000
 done
-for CONDITION in calm stragglers replica_lost; do
+for CONDITION in $CONDITIONS; do
   SHARE=0
   [ "$CONDITION" = stragglers ] && SHARE=0.01
   faults "{\"straggler_share\":$SHARE,\"straggler_factor\":20}" $(upstreams)
@@ -158,4 +159,4 @@
     for POLICY in adaptive naive; do measure "$CONDITION" "$POLICY" "$ROUND"; done
   done
 done
-python3 tools/tail_report.py "$FOLDER"
+python3 tools/tail_report.py "$FOLDER" $CONDITIONS
--- a/tools/tail_report.py
+++ b/tools/tail_report.py
@@ -6,7 +6,6 @@
 import re
 import sys
 
-CONDITIONS = ("calm", "stragglers", "replica_lost")
 POLICIES = ("adaptive", "naive")
 ATTEMPTS = re.compile(r'^masticproxy_attempts_total\{kind="(\w+)"\} (\d+)', re.M)
 
@@ -77,7 +76,7 @@
           "| coverage | extra load | extra at upstreams "
           "| hedges | retries | refused | other |")
     print("|---" * 13 + "|")
-    for condition in CONDITIONS:
+    for condition in sys.argv[2:]:
         for policy in POLICIES:
             row = pooled(sys.argv[1], condition, policy)
             print(f"| {condition} | {policy} | {row['requests']} "
