--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -8,8 +8,11 @@
 #include "masticproxy/src/Query/upstream_table.h"
 #include "masticproxy/src/Relay/relay_inbox.h"
 #include "masticproxy/src/Relay/relay_router.h"
+#include "masticproxy/src/Routing/attempt_kind.h"
+#include "masticproxy/src/Routing/hedge_schedule.h"
+#include "masticproxy/src/Routing/routing_policy.h"
+#include "masticproxy/src/Routing/waiting_list.h"
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
@@ -28,6 +31,10 @@
   unsigned Sharers = 1;
   /// Data centre of this VM; upstreams of others are not spoken to.
   std::string DataCentre;
+  /// How attempts are placed, hedged and retried.
+  policy_name Policy = policy_name::Adaptive;
+  /// Fixes the policy's draws.
+  unsigned Seed = 1;
   /// Attempts run for VMs of other data centres at a time.
   std::size_t Relayed = 1024;
 };
@@ -68,6 +75,11 @@
     /// Address of the upstream, or name of the VM where Relayed.
     std::string Upstream;
     bool Relayed = false;
+    std::string Index;
+    attempt_kind Kind = attempt_kind::First;
+    time_point SentAt{};
+    /// The result is no longer needed.
+    bool Cancelled = false;
   };
   using run_map = std::unordered_map<query_ticket, query_run>;
 
@@ -85,7 +97,17 @@
   void startShards(query_ticket Ticket, query_run &Run);
   void startShard(query_ticket Ticket, query_run &Run, std::size_t Shard);
   bool startRelay(query_ticket Ticket, query_run &Run, std::size_t Shard);
-  void startWaiting();
+  /// Takes a retry from the budget for extra load, or pays a first attempt in.
+  void payFor(const query_run &Run, bool Retry);
+  void send(query_ticket Ticket, query_run &Run, std::size_t Shard,
+            const replica &Target, attempt_kind Kind);
+  void startWaiting(std::optional<waiting_shard> Next);
+  void startAllWaiting();
+  void hedgeDue();
+  void hedge(attempt_id Attempt, const attempt_record &Record);
+  void scheduleHedge(attempt_id Attempt, const attempt_record &Record);
+  void noteEnd(const attempt_record &Record, const attempt_failure *Failure);
+  void cancel(attempt_id Attempt);
   std::optional<attempt_record> endAttempt(attempt_id Attempt);
   query_run *findRun(const attempt_record &Record);
   /// Starts \p Run over where its snapshot went away and a newer one is in
@@ -97,6 +119,7 @@
                query_outcome Outcome);
   static query_outcome outcomeOf(run_map::reference Run);
   void cancelOpen(query_run &Run);
+  void cancelOpen(query_run &Run, std::size_t Shard);
   void refuse(const query_arrived &Request, query_outcome Outcome);
 
   const clock &Clock;
@@ -107,7 +130,8 @@
   relay_inbox Inbox;
   run_map Runs;
   std::unordered_map<attempt_id, attempt_record> Attempts;
-  std::deque<std::pair<query_ticket, std::size_t>> Waiting;
+  waiting_list Waiting;
+  hedge_schedule Hedges;
   std::set<std::pair<time_point, query_ticket>> Deadlines;
   std::vector<engine_command> Commands;
   attempt_id NextAttempt = 1;
--- a/packages/core/masticproxy/src/Query/query_engine_relay.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_relay.cpp
@@ -47,8 +47,15 @@
   attempt_id Attempt = NextAttempt++;
   Router.attemptStarted(Vm->Name);
   Run.attemptStarted(Shard, Attempt, Vm->Name);
-  Attempts.emplace(Attempt, attempt_record{Ticket, Shard, Run.generation(),
-                                           Vm->Name, /*Relayed=*/true});
+  attempt_record Record;
+  Record.Ticket = Ticket;
+  Record.Shard = Shard;
+  Record.Generation = Run.generation();
+  Record.Upstream = Vm->Name;
+  Record.Relayed = true;
+  Record.Index = Run.indexName();
+  Record.SentAt = Now;
+  Attempts.emplace(Attempt, std::move(Record));
   send_relay Command{Vm->Name, Vm->PeerAddress, {}, Deadline};
   Command.Request.Attempt = Attempt;
   Command.Request.RequestId = Run.requestId();
