Answer bad input with a clear error and survive it

Two ended the daemon: a peer address that is none (from the platform's list of VMs or a peer's pull) and a replica address that is none threw in a thread's loop.

Ruled out: refusing a heartbeat that lists a bad address. One bad entry in the platform's list would then cut every VM from its peers.

Conclusion: what comes from outside a process is now checked where it is read.

--- a/packages/config/masticproxy/src/Settings/value_checker.cpp
+++ b/packages/config/masticproxy/src/Settings/value_checker.cpp
@@ -1,10 +1,11 @@
 #include "masticproxy/src/Settings/value_checker.h"
 
+#include "masticproxy/src/Settings/address_text.h"
 #include "masticproxy/src/Settings/ascii_text.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <toml++/toml.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <sstream>
@@ -13,8 +14,6 @@
 
 namespace {
 
-constexpr unsigned MaxPort = 65535;
-
 std::string plain(double Number) {
   std::ostringstream Out;
   Out << Number;
@@ -42,23 +41,6 @@
   return std::chrono::milliseconds(std::llround(Milliseconds));
 }
 
-bool isAddress(std::string_view Text) {
-  std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos)
-    return false;
-  std::string Host(Text.substr(0, Colon));
-  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
-    Host = Host.substr(1, Host.size() - 2);
-  boost::system::error_code Error;
-  boost::asio::ip::make_address(Host, Error);
-  std::string_view Digits = Text.substr(Colon + 1);
-  unsigned Port = 0;
-  auto [Stop, Bad] =
-      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
-  bool Whole = Stop == Digits.data() + Digits.size();
-  return !Error && Bad == std::errc() && Whole && Port <= MaxPort;
-}
-
 bool isChoice(std::string_view Word, std::string_view Choices) {
   while (!Choices.empty()) {
     std::size_t Bar = Choices.find('|');
@@ -167,7 +149,7 @@
       Result = *Text;
     break;
   case value_kind::Address:
-    if (Text && isAddress(*Text))
+    if (Text && isAddressText(*Text))
       Result = *Text;
     break;
   case value_kind::Choice:
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -3,6 +3,7 @@
 
 #include "masticproxy/src/Ctl/check_command.h"
 #include "masticproxy/src/Ctl/ctl_error.h"
+#include "masticproxy/src/Ctl/ctl_help.h"
 #include "masticproxy/src/Ctl/ctl_options.h"
 #include "masticproxy/src/Ctl/object_command.h"
 #include "masticproxy/src/Ctl/query_command.h"
@@ -11,6 +12,7 @@
 #include "masticproxy/src/Settings/settings_error.h"
 
 #include <iostream>
+#include <stdexcept>
 
 using namespace masticproxy;
 
@@ -37,10 +39,20 @@
                                        : "unknown command: " + Command);
 }
 
+std::string helpFor(const ctl_options &Options) {
+  if (Options.Words.empty())
+    return ctlHelp();
+  std::string Text = ctlHelp(Options.Words.front());
+  if (Text.empty())
+    throw ctl_error(ctl_exit::Usage,
+                    "unknown command: " + Options.Words.front());
+  return Text;
+}
+
 int run(int ArgCount, char **Args) {
   ctl_options Options = readCtlOptions(ArgCount, Args);
   if (Options.ShowHelp)
-    std::cout << ctlHelp();
+    std::cout << helpFor(Options);
   else if (Options.ShowVersion)
     std::cout << "masticctl " MASTICPROXY_VERSION "\n";
   else
@@ -61,8 +73,12 @@
   } catch (const settings_error &Error) {
     std::cerr << Error.what() << "\n";
     return static_cast<int>(ctl_exit::Usage);
-  } catch (const std::exception &Error) {
+  } catch (const std::invalid_argument &Error) {
     std::cerr << "masticctl: " << Error.what() << "\n";
     return static_cast<int>(ctl_exit::Usage);
+  } catch (const std::exception &Error) {
+    // What is left comes from an answer of another shape than expected.
+    std::cerr << "masticctl: " << Error.what() << "\n";
+    return static_cast<int>(ctl_exit::Unreachable);
   }
 }
--- a/packages/ctl/masticproxy/src/Ctl/ctl_options.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/ctl_options.cpp
@@ -97,38 +97,6 @@
   return Options;
 }
 
-std::string masticproxy::ctlHelp() {
-  return "Usage: masticctl COMMAND [OPTIONS]\n"
-         "\n"
-         "Commands:\n"
-         "  query                      send one query\n"
-         "      --vm ADDRESS --index NAME --profile NAME [--body TEXT]\n"
-         "      [--request ID]\n"
-         "  profile list               list the profiles      --platform "
-         "ADDRESS\n"
-         "  profile get NAME           print a profile\n"
-         "  profile apply NAME FILE    create or change a profile "
-         "[--if-version N]\n"
-         "  profile delete NAME        delete a profile       [--if-version "
-         "N]\n"
-         "  profile status NAME        version in force on each VM --vm "
-         "A,B,...\n"
-         "  index list|get|apply|delete  the same for index maps\n"
-         "  status                     what each VM reports   --vm A,B,...\n"
-         "  timeline                   events of all VMs in order --vm "
-         "A,B,...\n"
-         "      [--request ID]\n"
-         "  check settings FILE        check a VM's settings\n"
-         "  check profile FILE         check a profile\n"
-         "  check index FILE           check an index map\n"
-         "\n"
-         "Options for all: --json, --timeout-ms N, --help, --version\n"
-         "\n"
-         "Exit codes: 0 good, 1 unreachable, 2 bad command line or file,\n"
-         "3 conflict with another edit, 4 refused or not answered in full,\n"
-         "5 the write may have taken effect.\n";
-}
-
 std::string masticproxy::readTextFile(const std::string &Path) {
   std::ifstream File(Path);
   if (!File)
--- a/packages/ctl/masticproxy/src/Ctl/ctl_options.h
+++ b/packages/ctl/masticproxy/src/Ctl/ctl_options.h
@@ -30,9 +30,6 @@
 /// Reads the command line. \throws ctl_error where it is wrong.
 ctl_options readCtlOptions(int ArgCount, char **Args);
 
-/// \returns the text of `masticctl --help`.
-std::string ctlHelp();
-
 /// \returns the text of the file at \p Path. \throws ctl_error where it can't
 /// be read.
 std::string readTextFile(const std::string &Path);
--- a/packages/ctl/masticproxy/src/Ctl/object_command.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/object_command.cpp
@@ -7,6 +7,7 @@
 #include "masticproxy/src/Query/index_map.h"
 #include "masticproxy/src/Query/profile.h"
 #include "masticproxy/src/Settings/index_text.h"
+#include "masticproxy/src/Settings/object_name.h"
 #include "masticproxy/src/Settings/profile_text.h"
 
 #include <boost/uuid/random_generator.hpp>
@@ -114,6 +115,14 @@
   void operator()(const edit_not_made &Result) const {
     failUnreachable(Result.Reason + "; nothing was written");
   }
+
+  void operator()(const edit_too_long &Result) const {
+    throw ctl_error(ctl_exit::Usage, What + " has " +
+                                         std::to_string(Result.Bytes) +
+                                         " bytes, the platform holds " +
+                                         std::to_string(MaxObjectValueBytes) +
+                                         "; nothing was written");
+  }
 };
 
 void apply(platform_api &Platform, std::string_view Kind,
@@ -163,11 +172,22 @@
     readIndexMap(Text, Name);
 }
 
+void masticproxy::checkObjectName(std::string_view Kind,
+                                  std::string_view Name) {
+  if (!isObjectName(Name))
+    throw ctl_error(ctl_exit::Usage, "\"" + std::string(Name) +
+                                         "\" can't name a " +
+                                         std::string(Kind) + "; expected " +
+                                         std::string(ObjectNameRule));
+}
+
 void masticproxy::runObjectCommand(std::string_view Kind,
                                    const ctl_options &Options,
                                    std::ostream &Out) {
   if (Options.Platform.empty())
     throw ctl_error(ctl_exit::Usage, "--platform ADDRESS is required");
+  if (Options.Words.size() > 2)
+    checkObjectName(Kind, Options.Words[2]);
   http_platform Platform(Options.Platform, Options.Timeout);
   std::string Verb = Options.Words.size() > 1 ? Options.Words[1] : "";
   std::size_t Count = Options.Words.size();
--- a/packages/ctl/masticproxy/src/Ctl/object_command.h
+++ b/packages/ctl/masticproxy/src/Ctl/object_command.h
@@ -13,6 +13,9 @@
 void runObjectCommand(std::string_view Kind, const ctl_options &Options,
                       std::ostream &Out);
 
+/// Checks the \p Name of an object of \p Kind. \throws ctl_error
+void checkObjectName(std::string_view Kind, std::string_view Name);
+
 /// Checks \p Text of an object of \p Kind. \throws settings_error with all
 /// problems.
 void checkObjectText(std::string_view Kind, std::string_view Text,
--- a/packages/ctl/masticproxy/src/Ctl/object_editor.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/object_editor.cpp
@@ -12,6 +12,9 @@
 edit_result object_editor::apply(std::string_view Kind, std::string_view Name,
                                  std::string_view Text, std::string_view EditId,
                                  std::optional<std::uint64_t> IfVersion) {
+  std::string Marked = markEdit(Kind, Text, EditId);
+  if (Marked.size() > MaxObjectValueBytes)
+    return edit_too_long{Marked.size()};
   std::uint64_t Expected = IfVersion.value_or(0);
   if (!IfVersion) {
     platform_read_result Read = Platform.get(Kind, Name);
@@ -20,7 +23,6 @@
     if (auto *Object = std::get_if<platform_object>(&Read))
       Expected = Object->Version;
   }
-  std::string Marked = markEdit(Kind, Text, EditId);
   platform_write_result Written = Platform.put(Kind, Name, Expected, Marked);
   if (auto *Object = std::get_if<platform_object>(&Written))
     return edit_applied{Object->Version, false};
--- a/packages/ctl/masticproxy/src/Ctl/object_editor.h
+++ b/packages/ctl/masticproxy/src/Ctl/object_editor.h
@@ -3,6 +3,7 @@
 
 #include "masticproxy/src/Net/platform_api.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -35,8 +36,13 @@
   std::string Reason;
 };
 
-using edit_result =
-    std::variant<edit_applied, edit_conflict, edit_unknown, edit_not_made>;
+/// \brief The text is longer than the platform holds; nothing was written.
+struct edit_too_long {
+  std::size_t Bytes = 0;
+};
+
+using edit_result = std::variant<edit_applied, edit_conflict, edit_unknown,
+                                 edit_not_made, edit_too_long>;
 
 /// \brief Writes configuration objects so that no edit is lost or made twice.
 class object_editor {
--- a/packages/ctl/masticproxy/src/Ctl/query_command.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/query_command.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Ctl/ctl_error.h"
 #include "masticproxy/src/Ctl/ctl_options.h"
+#include "masticproxy/src/Ctl/object_command.h"
 #include "masticproxy/src/Net/http_call.h"
 
 #include <nlohmann/json.hpp>
@@ -49,6 +50,8 @@
   if (!Whole)
     throw ctl_error(ctl_exit::Usage,
                     "query needs one --vm, --index and --profile");
+  checkObjectName("index", Options.Index);
+  checkObjectName("profile", Options.Profile);
   exchange_result Result =
       httpCall(Options.Vms.front(), makeRequest(Options), Options.Timeout);
   if (auto *Failure = std::get_if<exchange_error>(&Result))
--- a/packages/ctl/masticproxy/src/Ctl/status_command.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/status_command.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Ctl/ctl_error.h"
 #include "masticproxy/src/Ctl/ctl_options.h"
+#include "masticproxy/src/Ctl/object_command.h"
 #include "masticproxy/src/Ctl/vm_reports.h"
 
 #include <nlohmann/json.hpp>
@@ -81,6 +82,7 @@
                                          std::ostream &Out) {
   if (Options.Words.size() != 3)
     throw ctl_error(ctl_exit::Usage, "status needs one NAME");
+  checkObjectName(Kind, Options.Words[2]);
   nlohmann::json All = nlohmann::json::array();
   std::size_t Unreached = 0;
   for (const vm_report &Report : askVms(Options, "/v1/status")) {
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Daemon/daemon_options.h"
 #include "masticproxy/src/Daemon/entry_daemon.h"
 #include "masticproxy/src/Settings/settings_error.h"
+#include "masticproxy/src/Settings/settings_reference.h"
 
 #include <csignal>
 #include <fstream>
@@ -61,6 +62,10 @@
     std::cout << "masticproxyd " MASTICPROXY_VERSION "\n";
     return ExitGood;
   }
+  if (Options.PrintReference) {
+    std::cout << settingsReference();
+    return ExitGood;
+  }
   node_settings Settings = readSettings(Options.SettingsFile);
   if (Options.CheckOnly) {
     std::cout << Options.SettingsFile << ": good\n";
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Daemon/outcome_response.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Settings/node_settings.h"
+#include "masticproxy/src/Settings/object_name.h"
 
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
@@ -15,6 +16,7 @@
 
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusMethodNotAllowed = 405;
 constexpr unsigned StatusUnavailable = 503;
 constexpr std::size_t MaxRequestIdBytes = 128;
 
@@ -46,6 +48,14 @@
   return percentDecoded(Path);
 }
 
+http_response methodNotAllowed(std::string_view Allowed) {
+  http_response Response =
+      errorResponse(StatusMethodNotAllowed, "method_not_allowed",
+                    "this page takes " + std::string(Allowed) + " only", "");
+  Response.Headers.emplace_back("allow", std::string(Allowed));
+  return Response;
+}
+
 bool isPrintable(std::string_view Text) {
   for (char C : Text)
     if (C <= ' ' || C > '~')
@@ -103,9 +113,11 @@
 void callers_thread::handle(http_request Request,
                             const http_server::responder &Respond) {
   bool IsQuery = !indexIn(targetPath(Request.Target)).empty();
-  if (IsQuery && Request.Method == "POST")
-    return handleQuery(std::move(Request), Respond);
-  Respond(handleRead(Request));
+  if (!IsQuery)
+    return Respond(handleRead(Request));
+  if (Request.Method != "POST")
+    return Respond(methodNotAllowed("POST"));
+  handleQuery(std::move(Request), Respond);
 }
 
 void callers_thread::handleQuery(http_request Request,
@@ -124,10 +136,16 @@
                                  "x-request-id needs 1 to 128 printable "
                                  "characters without spaces",
                                  ""));
-  if (Query.Profile.empty())
-    return Respond(errorResponse(StatusBadRequest, "bad_request",
-                                 "the query string needs profile=NAME",
-                                 Query.RequestId));
+  if (!isObjectName(Query.Profile) || !isObjectName(Query.Index))
+    return Respond(errorResponse(
+        StatusBadRequest, "bad_request",
+        "the query string needs profile=NAME; a name of a profile or an index "
+        "is " +
+            std::string(ObjectNameRule),
+        Query.RequestId));
+  if (!configured())
+    return Respond(
+        toCallerResponse(Query.RequestId, not_run{whyNotConfigured()}));
   std::string RequestId = Query.RequestId;
   query_ticket Ticket = Query.Ticket;
   Pending.emplace(Ticket, Respond);
@@ -139,6 +157,14 @@
 }
 
 http_response callers_thread::handleRead(const http_request &Request) const {
+  http_response Response = readPage(Request);
+  bool Known = Response.Status != StatusNotFound;
+  if (Known && Request.Method != "GET")
+    return methodNotAllowed("GET");
+  return Response;
+}
+
+http_response callers_thread::readPage(const http_request &Request) const {
   std::string_view Path = targetPath(Request.Target);
   if (Path == "/healthz")
     return plainText("ok\n");
@@ -155,13 +181,24 @@
   return errorResponse(StatusNotFound, "not_found", "no such page", "");
 }
 
-http_response callers_thread::ready() const {
+bool callers_thread::configured() const {
+  std::shared_ptr<const node_status> Newest = Status.get();
+  return Newest && Newest->ConfigurationRevision > 0;
+}
+
+std::string callers_thread::whyNotConfigured() const {
   std::shared_ptr<const node_status> Newest = Status.get();
-  bool Configured = Newest && Newest->ConfigurationRevision > 0;
-  if (Ready.load() && Configured)
+  bool Reachable = Newest && Newest->PlatformReachable;
+  return Reachable ? "no configuration yet: the platform holds none"
+                   : "no configuration yet: the platform is unreachable and no "
+                     "peer has sent one";
+}
+
+http_response callers_thread::ready() const {
+  if (Ready.load() && configured())
     return plainText("ready\n");
   http_response Response =
-      plainText(Ready.load() ? "no configuration yet\n" : "leaving\n");
+      plainText(Ready.load() ? whyNotConfigured() + "\n" : "leaving\n");
   Response.Status = StatusUnavailable;
   return Response;
 }
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.h
@@ -49,6 +49,9 @@
   void handle(http_request Request, const http_server::responder &Respond);
   void handleQuery(http_request Request, const http_server::responder &Respond);
   http_response handleRead(const http_request &Request) const;
+  http_response readPage(const http_request &Request) const;
+  bool configured() const;
+  std::string whyNotConfigured() const;
   http_response ready() const;
   http_response timeline(const http_request &Request) const;
   void deliver(deliver_outcome Outcome);
--- a/packages/daemon/masticproxy/src/Daemon/daemon_options.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_options.cpp
@@ -7,11 +7,13 @@
 using namespace masticproxy;
 
 daemon_options masticproxy::readDaemonOptions(int ArgCount, char **Args) {
-  static const option Known[] = {{"settings", required_argument, nullptr, 's'},
-                                 {"check", no_argument, nullptr, 'c'},
-                                 {"help", no_argument, nullptr, 'h'},
-                                 {"version", no_argument, nullptr, 'V'},
-                                 {nullptr, 0, nullptr, 0}};
+  static const option Known[] = {
+      {"settings", required_argument, nullptr, 's'},
+      {"check", no_argument, nullptr, 'c'},
+      {"print-settings-reference", no_argument, nullptr, 'r'},
+      {"help", no_argument, nullptr, 'h'},
+      {"version", no_argument, nullptr, 'V'},
+      {nullptr, 0, nullptr, 0}};
   daemon_options Options;
   opterr = 0;
   optind = 1;
@@ -24,6 +26,9 @@
     case 'c':
       Options.CheckOnly = true;
       break;
+    case 'r':
+      Options.PrintReference = true;
+      break;
     case 'h':
       Options.ShowHelp = true;
       break;
@@ -38,7 +43,8 @@
   if (optind < ArgCount)
     throw std::invalid_argument("unexpected argument: " +
                                 std::string(Args[optind]));
-  bool NeedsFile = !Options.ShowHelp && !Options.ShowVersion;
+  bool NeedsFile =
+      !Options.ShowHelp && !Options.ShowVersion && !Options.PrintReference;
   if (NeedsFile && Options.SettingsFile.empty())
     throw std::invalid_argument("--settings FILE is required");
   return Options;
@@ -51,6 +57,8 @@
          "\n"
          "  -s, --settings FILE  TOML settings of this VM\n"
          "  -c, --check          check the settings and exit\n"
+         "  --print-settings-reference\n"
+         "                       show every key of settings and profiles\n"
          "  -h, --help           show this text\n"
          "  -V, --version        show the version\n"
          "\n"
--- a/packages/daemon/masticproxy/src/Daemon/daemon_options.h
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_options.h
@@ -9,6 +9,7 @@
 struct daemon_options {
   std::string SettingsFile;
   bool CheckOnly = false;
+  bool PrintReference = false;
   bool ShowHelp = false;
   bool ShowVersion = false;
 };
--- a/packages/daemon/masticproxy/src/Daemon/peer_receiver.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/peer_receiver.cpp
@@ -21,7 +21,7 @@
       [Self = shared_from_this()](const boost::system::error_code &Error,
                                   std::size_t Bytes) {
         if (Error)
-          return;
+          return Self->end();
         Self->Counters.get("peer_bytes_received_total")
             .add(static_cast<std::int64_t>(Bytes));
         Self->Reader.append({Self->Chunk.data(), Bytes});
@@ -50,6 +50,11 @@
   return true;
 }
 
+void peer_receiver::end() {
+  if (Reader.partial())
+    reject(frame_error::CutShort);
+}
+
 void peer_receiver::reject(frame_error Error) {
   Counters
       .get("peer_bad_frames_total",
--- a/packages/daemon/masticproxy/src/Daemon/peer_receiver.h
+++ b/packages/daemon/masticproxy/src/Daemon/peer_receiver.h
@@ -34,6 +34,7 @@
 
 private:
   bool handleFrames();
+  void end();
   void reject(frame_error Error);
 
   boost::asio::ip::tcp::socket Socket;
--- a/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Daemon/peer_sender.h"
 #include "masticproxy/src/Daemon/relay_thread.h"
 #include "masticproxy/src/Net/tcp_address.h"
+#include "masticproxy/src/Settings/address_text.h"
 #include "masticproxy/src/Wire/frame_reader.h"
 #include "masticproxy/src/Wire/peer_codec.h"
 
@@ -58,6 +59,12 @@
 }
 
 void peers_thread::send(const send_to_peer &Command) {
+  // Peers and the platform's list name the addresses; one that is none must
+  // not end this thread.
+  if (!isAddressText(Command.PeerAddress)) {
+    Counters.get("peer_bad_addresses_total").add();
+    return;
+  }
   std::shared_ptr<internal::peer_sender> &Sender = Senders[Command.PeerAddress];
   if (!Sender)
     Sender = std::make_shared<internal::peer_sender>(
--- /dev/null
+++ b/packages/daemon/tests/daemon_protocol_test.cpp
@@ -0,0 +1,85 @@
+/// \file
+/// What callers and upstreams are told, and the daemon's command line.
+
+#include "masticproxy/Daemon"
+#include "masticproxy/Query"
+#include "masticproxy/src/Daemon/daemon_options.h"
+#include "masticproxy/src/Daemon/outcome_response.h"
+#include "masticproxy/src/Daemon/upstream_protocol.h"
+
+#include <criterion/criterion.h>
+
+#include <stdexcept>
+
+using namespace masticproxy;
+
+namespace {
+
+attempt_failure failureOf(unsigned Status, std::string_view NotRun) {
+  http_response Response;
+  Response.Status = Status;
+  if (!NotRun.empty())
+    Response.Headers.emplace_back("x-not-run", std::string(NotRun));
+  auto Result = fromUpstreamResponse(1, std::move(Response));
+  return std::get<attempt_failed>(Result).Failure;
+}
+
+daemon_options read(std::vector<std::string> Words) {
+  std::vector<char *> Args;
+  Words.insert(Words.begin(), "masticproxyd");
+  for (std::string &Word : Words)
+    Args.push_back(Word.data());
+  return readDaemonOptions(static_cast<int>(Args.size()), Args.data());
+}
+
+} // namespace
+
+Test(outcomes, have_a_status_and_a_code_each) {
+  struct {
+    query_outcome Outcome;
+    unsigned Status;
+    std::string_view Code;
+  } Cases[] = {{answered{"s1", {1, 1}, {}}, 200, "answered"},
+               {not_run{"why"}, 503, "not_run"},
+               {outcome_unknown{"why"}, 502, "outcome_unknown"},
+               {too_late{{1, 2}}, 504, "too_late"},
+               {unknown_profile{}, 404, "unknown_profile"},
+               {unknown_index{}, 404, "unknown_index"}};
+  for (const auto &Case : Cases) {
+    http_response Response = toCallerResponse("r-1", Case.Outcome);
+    cr_assert(Response.Status == Case.Status);
+    std::string Code = "\"code\":\"" + std::string(Case.Code) + "\"";
+    cr_assert(Response.Body.find(Code) != std::string::npos);
+    cr_assert(Response.Body.find("\"request_id\":\"r-1\"") !=
+              std::string::npos);
+    cr_assert(findHeader(Response.Headers, "x-request-id") == "r-1");
+  }
+}
+
+Test(outcomes, keep_foreign_bytes_out_of_the_json) {
+  shard_result Result;
+  Result.Shard = "0";
+  Result.Body = "\xff\xfe";
+  http_response Response =
+      toCallerResponse("r", answered{"s1", {1, 1}, {Result}});
+  cr_assert(Response.Status == 200);
+  cr_assert(Response.Body.find('\xff') == std::string::npos);
+}
+
+Test(upstream_responses, mean_not_run_only_where_the_upstream_says_so) {
+  cr_assert(failureOf(503, "overload") == attempt_failure::Refused);
+  cr_assert(failureOf(503, "draining") == attempt_failure::Draining);
+  cr_assert(failureOf(410, "snapshot_gone") == attempt_failure::SnapshotGone);
+  cr_assert(failureOf(410, "") == attempt_failure::Unknown);
+  cr_assert(failureOf(500, "") == attempt_failure::Unknown);
+  cr_assert(failureOf(503, "") == attempt_failure::Unknown);
+}
+
+Test(daemon_command_line, needs_a_settings_file_unless_it_only_prints) {
+  cr_assert_throw(read({}), std::invalid_argument);
+  cr_assert_throw(read({"--nothing"}), std::invalid_argument);
+  cr_assert_throw(read({"--settings"}), std::invalid_argument);
+  cr_assert_throw(read({"--settings", "a", "b"}), std::invalid_argument);
+  cr_assert(read({"--settings", "a", "--check"}).CheckOnly);
+  cr_assert(read({"--print-settings-reference"}).PrintReference);
+}
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -11,6 +11,12 @@
 
 constexpr std::uint32_t MaxHeaderBytes = 16384;
 
+/// How long, and how far, a rejected request is read before its connection is
+/// closed.
+constexpr std::chrono::seconds RejectedReadTime{2};
+constexpr std::size_t MaxRejectedBytes = 16U << 20U;
+constexpr std::size_t RejectedChunkBytes = 65536;
+
 } // namespace
 
 http_session::http_session(boost::asio::ip::tcp::socket Socket,
@@ -61,15 +67,15 @@
 
 void http_session::onRead(const boost::system::error_code &Error) {
   if (Error == http::error::body_limit)
-    return reject(413, "body_too_large");
+    return reject(413, "body_too_large", "the body is above the limit");
   if (Error == http::error::header_limit)
-    return reject(431, "header_too_large");
+    return reject(431, "header_too_large", "the header is above 16384 bytes");
   bool Malformed =
       Error && Error.category() ==
                    http::make_error_code(http::error::bad_version).category();
   if (Malformed && Error != http::error::end_of_stream &&
       Error != http::error::partial_message)
-    return reject(400, "malformed_http");
+    return reject(400, "malformed_http", "this is no HTTP/1.1 request");
   if (Error)
     return close();
   Busy = true;
@@ -88,17 +94,46 @@
                     [Self = shared_from_this()](
                         const boost::system::error_code &Error, std::size_t) {
                       Self->Busy = false;
+                      if (!Error && Self->Rejected)
+                        return Self->readOutRejected();
                       if (Error || !Self->Out->keep_alive() || Self->Closing)
                         return Self->close();
                       Self->read();
                     });
 }
 
-void http_session::reject(unsigned Status, std::string_view Code) {
+void http_session::reject(unsigned Status, std::string_view Code,
+                          std::string_view Message) {
+  Rejected = true;
   http_response Response;
   Response.Status = Status;
   Response.Close = true;
   Response.Headers.emplace_back("content-type", "application/json");
-  Response.Body = "{\"code\":\"" + std::string(Code) + "\"}\n";
+  Response.Body = "{\"code\":\"" + std::string(Code) + "\",\"message\":\"" +
+                  std::string(Message) + "; the request was not run\"}\n";
   respond(std::move(Response));
 }
+
+void http_session::readOutRejected() {
+  // Closing with bytes unread would reset the connection, and the caller could
+  // lose the response that says why.
+  boost::system::error_code Ignored;
+  Stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                           Ignored);
+  Stream.expires_after(RejectedReadTime);
+  Buffer.clear();
+  discard(0);
+}
+
+void http_session::discard(std::size_t Already) {
+  if (Already > MaxRejectedBytes)
+    return close();
+  Stream.async_read_some(
+      Buffer.prepare(RejectedChunkBytes),
+      [Self = shared_from_this(),
+       Already](const boost::system::error_code &Error, std::size_t Bytes) {
+        if (Error)
+          return Self->close();
+        Self->discard(Already + Bytes);
+      });
+}
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -37,7 +37,9 @@
   void read();
   void onRead(const boost::system::error_code &Error);
   void respond(http_response Response);
-  void reject(unsigned Status, std::string_view Code);
+  void reject(unsigned Status, std::string_view Code, std::string_view Message);
+  void readOutRejected();
+  void discard(std::size_t Already);
 
   boost::beast::tcp_stream Stream;
   http_server_limits Limits;
@@ -50,6 +52,7 @@
   boost::asio::steady_timer SetupTimer;
   bool Busy = false;
   bool Closing = false;
+  bool Rejected = false;
 };
 
 } // namespace masticproxy::internal
--- a/packages/net/masticproxy/src/Net/platform_api.h
+++ b/packages/net/masticproxy/src/Net/platform_api.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_NET_PLATFORM_API_H
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -11,6 +12,9 @@
 
 namespace masticproxy {
 
+/// Longest value of an object, in bytes.
+inline constexpr std::size_t MaxObjectValueBytes = 1U << 20U;
+
 /// \brief One object of the platform's object API.
 struct platform_object {
   std::string Kind;
--- a/packages/testing/masticproxy/src/Harness/test_cluster.cpp
+++ b/packages/testing/masticproxy/src/Harness/test_cluster.cpp
@@ -75,7 +75,7 @@
 }
 
 void test_cluster::startVm(std::size_t Index) {
-  std::string File = Folder + "/vm-" + std::to_string(Index) + ".toml";
+  std::string File = settingsFile(Index);
   writeFile(File, settingsText(Index));
   Vms[Index] = std::make_unique<child_process>(
       std::vector<std::string>{program("masticproxyd"), "--settings", File},
@@ -154,10 +154,17 @@
 
 int test_cluster::ctl(const std::vector<std::string> &Args,
                       std::string &Output) {
-  std::vector<std::string> Command{program("masticctl"), "--platform",
-                                   platformAddress()};
+  std::vector<std::string> All{"--platform", platformAddress()};
+  All.insert(All.end(), Args.begin(), Args.end());
+  return run("masticctl", All, Output);
+}
+
+int test_cluster::run(const std::string &Name,
+                      const std::vector<std::string> &Args,
+                      std::string &Output) {
+  std::vector<std::string> Command{program(Name)};
   Command.insert(Command.end(), Args.begin(), Args.end());
-  std::string File = Folder + "/ctl.out";
+  std::string File = Folder + "/" + Name + ".out";
   std::filesystem::remove(File);
   child_process Process(Command, File);
   std::optional<int> Exit = Process.waitForExit(StartWait);
@@ -165,6 +172,17 @@
   return Exit.value_or(-1);
 }
 
+std::string test_cluster::makeFile(const std::string &Name,
+                                   const std::string &Text) {
+  std::string File = Folder + "/" + Name;
+  writeFile(File, Text);
+  return File;
+}
+
+std::string test_cluster::settingsFile(std::size_t Index) const {
+  return Folder + "/vm-" + std::to_string(Index) + ".toml";
+}
+
 std::string test_cluster::callersAddress(std::size_t Vm) const {
   return address(CallersOffset + static_cast<unsigned>(Vm));
 }
--- a/packages/testing/masticproxy/src/Harness/test_cluster.h
+++ b/packages/testing/masticproxy/src/Harness/test_cluster.h
@@ -74,6 +74,17 @@
   bool waitUntil(const std::function<bool()> &Condition,
                  std::chrono::milliseconds Longest = std::chrono::seconds(10));
 
+  /// Starts the program \p Name with \p Args and waits. \returns its exit
+  /// code, -1 where it does not end; what it printed goes to \p Output.
+  int run(const std::string &Name, const std::vector<std::string> &Args,
+          std::string &Output);
+
+  /// Writes \p Text to a file called \p Name. \returns its path.
+  std::string makeFile(const std::string &Name, const std::string &Text);
+
+  /// \returns the path of the settings of the VM at \p Index, once started.
+  std::string settingsFile(std::size_t Index) const;
+
   /// Starts masticctl with \p Args and waits. \returns its exit code; what it
   /// printed goes to \p Output.
   int ctl(const std::vector<std::string> &Args, std::string &Output);
--- a/packages/wire/masticproxy/src/Wire/frame_error.cpp
+++ b/packages/wire/masticproxy/src/Wire/frame_error.cpp
@@ -12,6 +12,8 @@
     return "wrong_checksum";
   case frame_error::Malformed:
     return "malformed";
+  case frame_error::CutShort:
+    return "cut_short";
   }
   return "unknown";
 }
--- a/packages/wire/masticproxy/src/Wire/frame_error.h
+++ b/packages/wire/masticproxy/src/Wire/frame_error.h
@@ -15,6 +15,8 @@
   WrongChecksum,
   /// The payload is no well-formed message.
   Malformed,
+  /// The connection ended within a frame.
+  CutShort,
 };
 
 /// \returns a short text for logs and counters.
--- a/packages/wire/masticproxy/src/Wire/frame_reader.h
+++ b/packages/wire/masticproxy/src/Wire/frame_reader.h
@@ -45,6 +45,9 @@
   /// Moves out the bytes that are not read yet.
   std::string takeBytes() { return std::exchange(Buffer, {}); }
 
+  /// \returns whether bytes of an unfinished frame are held.
+  bool partial() const { return !Buffer.empty(); }
+
 private:
   std::string Buffer;
 };
