--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -6,8 +6,7 @@
 set -euo pipefail
 BIN=$(cd "${1:?usage: demo.sh FOLDER_OF_PROGRAMS}" && pwd)
 PORT=${DEMO_FIRST_PORT:-25000}
-WORK=$(mktemp -d)
-declare -A PIDS=()
+. "$(dirname "$0")/processes.sh"
 
 SHARDS=4
 REPLICAS=4
@@ -20,58 +19,12 @@
 peers_of() { echo "127.0.0.1:$((PORT + 20 + $1))"; }
 ALL_VMS=$(callers_of 1),$(callers_of 2),$(callers_of 3)
 
-clean_up() {
-  for PID in "${PIDS[@]}"; do kill -KILL "$PID" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  rm -rf "$WORK"
-}
-trap clean_up EXIT
-trap 'exit 1' INT TERM
-
-step() { printf '\n== %s\n' "$*"; }
-say() { printf '   %s\n' "$*"; }
-fail() {
-  printf 'demo failed: %s\n' "$*" >&2
-  tail -n 5 "$WORK"/*.log >&2 || true
-  exit 1
-}
-
-# start NAME COMMAND...: a background process whose pid is kept under NAME.
-start() {
-  local NAME=$1
-  shift
-  "$@" >"$WORK/$NAME.log" 2>&1 &
-  PIDS[$NAME]=$!
-}
-
-# wait_for WHAT COMMAND...: until the command succeeds, ten seconds at most.
-wait_for() {
-  local WHAT=$1
-  shift
-  for _ in $(seq 200); do
-    "$@" >/dev/null 2>&1 && return 0
-    sleep 0.05
-  done
-  fail "$WHAT"
-}
-
-answers() { curl -fsS --max-time 2 "http://$1$2"; }
 ctl() { "$BIN/masticctl" "$@"; }
 
 start_vm() {
   local NUMBER=$1 NAME=${VM_NAMES[$1 - 1]}
-  cat >"$WORK/$NAME.toml" <<SETTINGS
-[node]
-name = "$NAME"
-data_centre = "${VM_PLACES[$1 - 1]}"
-[listen]
-callers = "$(callers_of "$NUMBER")"
-peers = "$(peers_of "$NUMBER")"
-[platform]
-address = "$PLATFORM"
-[leave]
-balancer_lag = "200ms"
-SETTINGS
+  write_settings "$WORK/$NAME.toml" "$NAME" "${VM_PLACES[$1 - 1]}" \
+    "$(callers_of "$NUMBER")" "$(peers_of "$NUMBER")" "$PLATFORM"
   start "$NAME" "$BIN/masticproxyd" --settings "$WORK/$NAME.toml"
 }
 
@@ -96,13 +49,6 @@
   [ "$(grep -c "version $1 " <<<"$TEXT")" -eq 3 ]
 }
 
-# kill_now NAME: kills a process and collects it, as bash would report it late.
-kill_now() {
-  kill -KILL "${PIDS[$1]}"
-  { wait "${PIDS[$1]}" || true; } 2>/dev/null
-  unset "PIDS[$1]"
-}
-
 load() {
   "$BIN/masticproxy_load" --targets "$1" --index suites --profile lookup \
     --rate 40 --length-ms 4000
