--- a/packages/ctl/masticproxy/src/Ctl/object_command.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/object_command.cpp
@@ -69,7 +69,7 @@
   if (Json)
     Out << objectJson(*Object).dump(2) << "\n";
   else
-    Out << "# version " << Object->Version << "\n" << Object->Value;
+    Out << VersionLinePrefix << Object->Version << "\n" << Object->Value;
 }
 
 /// Prints the result of an edit, or throws it as an error.
--- a/packages/ctl/masticproxy/src/Ctl/object_editor.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/object_editor.cpp
@@ -7,6 +7,16 @@
 constexpr unsigned ReadBackTries = 3;
 constexpr std::string_view MarkPrefix = "# edit ";
 
+/// Takes off the line with the version that `get` prints before a profile: in
+/// the written text it would be wrong.
+std::string_view withoutVersionLine(std::string_view Text) {
+  if (!Text.starts_with(VersionLinePrefix))
+    return Text;
+  std::size_t End = Text.find('\n');
+  return End == std::string_view::npos ? std::string_view()
+                                       : Text.substr(End + 1);
+}
+
 } // namespace
 
 edit_result object_editor::apply(std::string_view Kind, std::string_view Name,
@@ -50,9 +60,9 @@
 
 std::string masticproxy::markEdit(std::string_view Kind, std::string_view Text,
                                   std::string_view EditId) {
-  std::string Marked(Text);
   if (Kind != "profile")
-    return Marked;
+    return std::string(Text);
+  std::string Marked(withoutVersionLine(Text));
   // The mark of an earlier edit comes along when its text is edited further.
   std::size_t Old = Marked.rfind(MarkPrefix);
   if (Old != std::string::npos && (Old == 0 || Marked[Old - 1] == '\n'))
--- a/packages/ctl/masticproxy/src/Ctl/object_editor.h
+++ b/packages/ctl/masticproxy/src/Ctl/object_editor.h
@@ -12,6 +12,9 @@
 
 namespace masticproxy {
 
+/// Start of the comment line before a profile that `get` prints.
+inline constexpr std::string_view VersionLinePrefix = "# version ";
+
 /// \brief The edit took effect.
 struct edit_applied {
   std::uint64_t Version = 0;
--- a/packages/ctl/tests/ctl_test.cpp
+++ b/packages/ctl/tests/ctl_test.cpp
@@ -50,6 +50,7 @@
 ctl_options read(std::vector<std::string> Words) {
   std::vector<char *> Args;
   Words.insert(Words.begin(), "masticctl");
+  Args.reserve(Words.size());
   for (std::string &Word : Words)
     Args.push_back(Word.data());
   return readCtlOptions(static_cast<int>(Args.size()), Args.data());
@@ -106,6 +107,14 @@
   cr_assert(Platform.Writes == 0);
 }
 
+Test(edits, drop_the_version_line_and_the_mark_of_an_earlier_edit) {
+  std::string First = markEdit("profile", "a = 1", "one");
+  cr_assert(First == "a = 1\n# edit one\n");
+  std::string Second = markEdit("profile", "# version 5\n" + First, "two");
+  cr_assert(Second == "a = 1\n# edit two\n");
+  cr_assert(markEdit("profile", "# version 5", "x") == "# edit x\n");
+}
+
 Test(edits, longer_than_the_platform_holds_are_never_sent) {
   scripted_platform Platform;
   edit_result Result = edit(Platform, std::string(MaxObjectValueBytes, '#'));
--- a/packages/daemon/tests/daemon_protocol_test.cpp
+++ b/packages/daemon/tests/daemon_protocol_test.cpp
@@ -27,6 +27,7 @@
 daemon_options read(std::vector<std::string> Words) {
   std::vector<char *> Args;
   Words.insert(Words.begin(), "masticproxyd");
+  Args.reserve(Words.size());
   for (std::string &Word : Words)
     Args.push_back(Word.data());
   return readDaemonOptions(static_cast<int>(Args.size()), Args.data());
