--- a/packages/testing/masticproxy/src/Harness/test_cluster.h
+++ b/packages/testing/masticproxy/src/Harness/test_cluster.h
@@ -82,6 +82,9 @@
   /// Writes \p Text to a file called \p Name. \returns its path.
   std::string makeFile(const std::string &Name, const std::string &Text);
 
+  /// \returns the path of the index map, once the surroundings are started.
+  std::string mapFile() const { return Folder + "/map.json"; }
+
   /// \returns the path of the settings of the VM at \p Index, once started.
   std::string settingsFile(std::size_t Index) const;
 
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -35,7 +35,7 @@
 
 step "threaded tests under the thread sanitizer"
 cmake -S . -B build/tsan -G Ninja -DMASTICPROXY_SANITIZE=thread >/dev/null
-cmake --build build/tsan --target masticproxyd masticctl platform_stub upstream_stub
+cmake --build build/tsan --target masticproxyd masticctl platform_stub upstream_stub masticproxy_load
 # Criterion itself does not run under the thread sanitizer, so the tests are
 # the release build's and the processes that they start are instrumented.
 REPORTS=$PWD/build/tsan/reports
