--- a/packages/ctl/masticproxy/src/Ctl/object_editor.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/object_editor.cpp
@@ -7,11 +7,24 @@
 constexpr unsigned ReadBackTries = 3;
 constexpr std::string_view MarkPrefix = "# edit ";
 
+/// Takes off the line with the version that `get` prints before a profile: in
+/// the written text it would be wrong.
+std::string_view withoutVersionLine(std::string_view Text) {
+  if (!Text.starts_with(VersionLinePrefix))
+    return Text;
+  std::size_t End = Text.find('\n');
+  return End == std::string_view::npos ? std::string_view()
+                                       : Text.substr(End + 1);
+}
+
 } // namespace
 
 edit_result object_editor::apply(std::string_view Kind, std::string_view Name,
                                  std::string_view Text, std::string_view EditId,
                                  std::optional<std::uint64_t> IfVersion) {
+  std::string Marked = markEdit(Kind, Text, EditId);
+  if (Marked.size() > MaxObjectValueBytes)
+    return edit_too_long{Marked.size()};
   std::uint64_t Expected = IfVersion.value_or(0);
   if (!IfVersion) {
     platform_read_result Read = Platform.get(Kind, Name);
@@ -20,7 +33,6 @@
     if (auto *Object = std::get_if<platform_object>(&Read))
       Expected = Object->Version;
   }
-  std::string Marked = markEdit(Kind, Text, EditId);
   platform_write_result Written = Platform.put(Kind, Name, Expected, Marked);
   if (auto *Object = std::get_if<platform_object>(&Written))
     return edit_applied{Object->Version, false};
@@ -48,9 +60,9 @@
 
 std::string masticproxy::markEdit(std::string_view Kind, std::string_view Text,
                                   std::string_view EditId) {
-  std::string Marked(Text);
   if (Kind != "profile")
-    return Marked;
+    return std::string(Text);
+  std::string Marked(withoutVersionLine(Text));
   // The mark of an earlier edit comes along when its text is edited further.
   std::size_t Old = Marked.rfind(MarkPrefix);
   if (Old != std::string::npos && (Old == 0 || Marked[Old - 1] == '\n'))
