Pass configuration on between peers and share connections by acknowledgement

Cause: every VM watched the platform, which counts a waiting watch as a call; a push that followed a lost one marked the table complete; shares followed the plain number of members, so that a joining VM opened connections before the others had closed theirs, and a VM that woke from a pause went on with its old share.

Change: two VMs of each data centre, chosen by rendezvous hash, watch; up to two more where those reach nothing. Changes are pushed to the data centre; heartbeats carry revision and digest, and what is missing is pulled. Watchers tell two VMs of each other data centre. A push names the revision it begins after and completes nothing beyond a gap. Members vouch for those they hear themselves. A VM holds connections only after all members say that they count it and are within their smaller share; a grant ends by itself when it is not renewed; the upstreams thread enforces it and closes idle connections above it. Calls to the platform come from a token bucket, pauses from a back-off class.

Ruled out: an election, and timed joins without acknowledgement, which hold only while no message is lost.

--- a/packages/core/masticproxy/src/Cluster/configuration_push.h
+++ b/packages/core/masticproxy/src/Cluster/configuration_push.h
@@ -10,7 +10,9 @@
 
 /// \brief Configuration handed from one VM to another.
 struct configuration_push {
-  /// Revision up to which \p Records are complete, with what was sent before.
+  /// Revision after which \p Records begin.
+  std::uint64_t AfterRevision = 0;
+  /// Revision up to which \p Records are complete, from AfterRevision on.
   std::uint64_t Revision = 0;
   std::vector<configuration_record> Records;
 
--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -22,6 +22,8 @@
   std::string Shard;
   std::shared_ptr<const std::string> Body;
   time_point Deadline;
+  /// Connections the upstream accepts, over all VMs.
+  unsigned Connections = 1;
 };
 
 /// \brief Ask the upstream to stop an attempt whose result is not needed.
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -25,7 +25,6 @@
       Catalogue(std::make_shared<const query_catalogue>()),
       Inbox(this->Limits.Relayed) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
-  Upstreams.setSharers(this->Limits.Sharers);
 }
 
 query_engine::~query_engine() = default;
@@ -45,6 +44,9 @@
 }
 
 void query_engine::on(query_arrived Event) {
+  if (!Configured)
+    return refuse(Event, not_run{"no configuration yet: neither the platform "
+                                 "nor a peer gave one"});
   const profile *Profile = Catalogue->findProfile(Event.Profile);
   if (!Profile)
     return refuse(Event, unknown_profile{});
@@ -107,6 +109,7 @@
 
 void query_engine::on(catalogue_changed Event) {
   Catalogue = std::move(Event.Catalogue);
+  Configured = true;
   for (auto &[Ticket, Run] : Runs)
     restartIfDue(Ticket, Run);
 }
@@ -147,7 +150,8 @@
                                            Chosen->Address});
   Commands.push_back(send_attempt{Attempt, Run.requestId(), Chosen->Address,
                                   Run.indexName(), Run.snapshot().Id, Target.Id,
-                                  Run.body(), Run.deadline()});
+                                  Run.body(), Run.deadline(),
+                                  Chosen->Connections});
 }
 
 void query_engine::startWaiting() {
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -24,8 +24,6 @@
 struct engine_limits {
   /// Requests under way at a time; one more is refused.
   std::size_t Queries = 1024;
-  /// VMs of the data centre, which share each upstream's connections.
-  unsigned Sharers = 1;
   /// Data centre of this VM; upstreams of others are not spoken to.
   std::string DataCentre;
   /// Attempts run for VMs of other data centres at a time.
@@ -51,8 +49,10 @@
   /// \returns the requests under way.
   std::size_t running() const { return Runs.size(); }
 
-  /// Sets how many VMs of the data centre share each upstream's connections.
-  void setSharers(unsigned Count) { Upstreams.setSharers(Count); }
+  /// Sets how many connections this VM may hold to each upstream.
+  void setGrant(std::shared_ptr<const connection_grant> Grant) {
+    Upstreams.setGrant(std::move(Grant));
+  }
 
   /// Replaces the VMs of other data centres, which may be asked for shards
   /// that have no usable replica here.
@@ -111,6 +111,7 @@
   std::set<std::pair<time_point, query_ticket>> Deadlines;
   std::vector<engine_command> Commands;
   attempt_id NextAttempt = 1;
+  bool Configured = false;
   bool Leaving = false;
 };
 
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -23,7 +23,7 @@
         continue;
       Load = Found->second.InFlight;
     }
-    if (Load >= placesAt(Candidate))
+    if (Load >= placesAt(Candidate, Now))
       continue;
     if (!Best || Load < BestLoad) {
       Best = &Candidate;
@@ -65,6 +65,9 @@
   return Found == States.end() ? 0 : Found->second.InFlight;
 }
 
-unsigned upstream_table::placesAt(const replica &Replica) const {
-  return std::max(1U, Replica.Connections / Sharers);
+unsigned upstream_table::placesAt(const replica &Replica,
+                                  time_point Now) const {
+  if (!Grant)
+    return Replica.Connections;
+  return Grant->places(Replica.Address, Replica.Connections, Now);
 }
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -2,8 +2,10 @@
 #define MASTICPROXY_QUERY_UPSTREAM_TABLE_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Cluster/connection_grant.h"
 
 #include <map>
+#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
@@ -20,8 +22,11 @@
   /// Sets the data centre whose upstreams may be chosen.
   void setDataCentre(std::string Name) { DataCentre = std::move(Name); }
 
-  /// Sets how many VMs of the data centre share each upstream's connections.
-  void setSharers(unsigned Count) { Sharers = Count == 0 ? 1 : Count; }
+  /// Sets how many connections this VM may hold to each upstream; all that
+  /// the upstream accepts before the first call.
+  void setGrant(std::shared_ptr<const connection_grant> NewGrant) {
+    Grant = std::move(NewGrant);
+  }
 
   /// \returns the best replica with a free place that is not in \p Tried and
   /// not draining, or null.
@@ -51,10 +56,10 @@
     time_point AvoidUntil{};
   };
 
-  unsigned placesAt(const replica &Replica) const;
+  unsigned placesAt(const replica &Replica, time_point Now) const;
 
   std::string DataCentre;
-  unsigned Sharers = 1;
+  std::shared_ptr<const connection_grant> Grant;
   std::map<std::string, upstream_state, std::less<>> States;
 };
 
--- a/packages/core/tests/configuration_table_test.cpp
+++ b/packages/core/tests/configuration_table_test.cpp
@@ -27,7 +27,7 @@
   configuration_table Table;
   Table.apply({"profile", "a", 3, false, ""});
   Table.apply({"profile", "b", 5, true, ""});
-  Table.completeUpTo(5);
+  Table.completeUpTo(0, 5);
   cr_assert(Table.revision() == 5);
   auto Newer = Table.recordsAfter(3);
   cr_assert(Newer.size() == 1);
--- a/packages/core/tests/query_engine_test.cpp
+++ b/packages/core/tests/query_engine_test.cpp
@@ -43,7 +43,7 @@
   }
 
   manual_clock Clock;
-  query_engine Engine{Clock, {16, 1, "dc1"}};
+  query_engine Engine{Clock, {16, "dc1"}};
 };
 
 std::vector<send_attempt> attemptsIn(const std::vector<engine_command> &All) {
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -157,11 +157,16 @@
 
 http_response callers_thread::ready() const {
   std::shared_ptr<const node_status> Newest = Status.get();
-  bool Configured = Newest && Newest->ConfigurationRevision > 0;
-  if (Ready.load() && Configured)
+  std::string Reason;
+  if (!Ready.load())
+    Reason = "leaving\n";
+  else if (!Newest || Newest->ConfigurationRevision == 0)
+    Reason = "no configuration yet\n";
+  else if (!Newest->SharesSettled)
+    Reason = "no share of the upstreams' connections yet\n";
+  else
     return plainText("ready\n");
-  http_response Response =
-      plainText(Ready.load() ? "no configuration yet\n" : "leaving\n");
+  http_response Response = plainText(std::move(Reason));
   Response.Status = StatusUnavailable;
   return Response;
 }
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -15,6 +15,17 @@
 
 namespace {
 
+/// Heartbeat intervals in which a new member hears those who know of it.
+constexpr unsigned JoinBeats = 2;
+
+/// Multiples of peers.dead_after: until a dead member is forgotten, and until
+/// the silence of most members together is believed.
+constexpr unsigned ForgetFactor = 20;
+constexpr unsigned MajorityFactor = 10;
+
+/// Heartbeats after which other VMs of the other data centres are told.
+constexpr std::uint64_t BeatsInLinkRound = 10;
+
 member_info selfOf(const control_links &Links) {
   member_info Self;
   Self.Name = Links.Settings.Name;
@@ -24,68 +35,148 @@
   return Self;
 }
 
+membership_timing timingOf(const node_settings &Settings) {
+  return {Settings.SuspectAfter, Settings.DeadAfter,
+          ForgetFactor * Settings.DeadAfter};
+}
+
+share_timing shareTimingOf(const node_settings &Settings) {
+  return {JoinBeats * Settings.HeartbeatInterval, Settings.DeadAfter,
+          MajorityFactor * Settings.DeadAfter, Settings.SuspectAfter};
+}
+
 } // namespace
 
 control_duty::control_duty(control_links &Links)
     : Links(Links),
-      Members(Links.Clock, selfOf(Links),
-              {Links.Settings.SuspectAfter, Links.Settings.DeadAfter}),
+      Members(Links.Clock, selfOf(Links), timingOf(Links.Settings)),
+      Share(Links.Clock, shareTimingOf(Links.Settings)),
+      Sync(Links.Clock, Links.Settings.PeersAddress,
+           Links.Settings.HeartbeatInterval),
+      RemoteVms(Links.Settings.DataCentre),
       Catalogue(std::make_shared<const query_catalogue>()) {}
 
 void control_duty::drainRings() {
+  // After a pause, what the rings kept is older than the members' silence.
+  Members.tick();
   Links.FromPlatform.drain([this](platform_event Event) {
     std::visit([this](auto E) { on(std::move(E)); }, std::move(Event));
   });
   Links.FromPeers.drain([this](peer_message Message) {
     std::visit([this](auto M) { on(std::move(M)); }, std::move(Message));
   });
-  publishSharers();
-  publishStatus();
+  decide();
 }
 
 void control_duty::beat() {
   Members.tick();
-  sendToPeers(Members.makeHeartbeat(Table.revision()));
-  publishSharers();
-  publishStatus();
+  decide();
+  heartbeat Heartbeat = makeHeartbeat();
+  sendToPeers(Heartbeat);
+  beatToOtherDataCentres(std::move(Heartbeat));
 }
 
 void control_duty::leave() {
   Members.leave();
-  sendToPeers(Members.makeHeartbeat(Table.revision()));
+  sendToPeers(makeHeartbeat());
+  decide();
+}
+
+void control_duty::decide() {
+  Share.onApplied(Links.AppliedGrant());
+  Share.refresh(Members);
+  chooseWatching();
+  publishGrant();
   publishStatus();
 }
 
-void control_duty::on(const configuration_push &Push) {
-  bool Changed = false;
-  for (const configuration_record &Record : Push.Records)
-    Changed = takeOver(Record) || Changed;
-  Table.completeUpTo(Push.Revision);
-  if (Changed)
-    publishCatalogue();
+void control_duty::chooseWatching() {
+  std::vector<member_info> Peers = Members.peers();
+  Watchers.keepOnly(Peers);
+  Watching = Watchers.shouldWatch(Members.self(), Peers);
+  Links.Follow(Watching, Sync.table().revision());
+}
+
+heartbeat control_duty::makeHeartbeat() {
+  heartbeat Heartbeat = Members.makeHeartbeat();
+  Share.markCounted(Heartbeat);
+  Heartbeat.ConfigurationRevision = Sync.table().revision();
+  Heartbeat.ConfigurationDigest = Sync.table().digest();
+  Heartbeat.Platform = contact();
+  return Heartbeat;
+}
+
+void control_duty::beatToOtherDataCentres(heartbeat Heartbeat) {
+  ++Beats;
+  if (!Watching)
+    return;
+  // Members are a data centre's own matter.
+  Heartbeat.Members.clear();
+  for (const member_info &Vm : RemoteVms.targets(Beats / BeatsInLinkRound))
+    send(Vm.PeerAddress, Heartbeat);
+}
+
+platform_contact control_duty::contact() const {
+  if (!Watching)
+    return platform_contact::NotWatching;
+  return Links.PlatformReachable() ? platform_contact::Watching
+                                   : platform_contact::Lost;
+}
+
+void control_duty::on(const platform_changed &Changed) {
+  std::uint64_t Before = Sync.table().revision();
+  takeIn(Changed.Changes);
+  if (Changed.Behind != PlatformBehind) {
+    PlatformBehind = Changed.Behind;
+    logWarning(std::string("event=platform_") +
+               (PlatformBehind ? "behind" : "caught_up") +
+               " revision=" + std::to_string(Changed.Changes.Revision) +
+               " held=" + std::to_string(Sync.table().revision()));
+  }
+  // What was there at the start is pulled by those who lack it.
+  bool Changes = Before > 0 && Sync.table().revision() > Before;
+  if (!Changes)
+    return;
+  for (configuration_push &Push : Sync.changesAfter(Before))
+    sendToPeers(std::move(Push));
 }
 
 void control_duty::on(const vms_listed &Listed) {
   Members.onListed(Listed.Vms);
   publishRemotes();
+  RemoteVms.onListed(Listed.Vms);
 }
 
+void control_duty::on(const configuration_push &Push) { takeIn(Push); }
+
 void control_duty::on(const heartbeat &Heartbeat) {
+  const member_info &Sender = Heartbeat.Sender;
   Members.onHeartbeat(Heartbeat);
-  if (Heartbeat.ConfigurationRevision > Table.revision())
-    send(Heartbeat.Sender.PeerAddress,
-         configuration_pull{Table.revision(), Links.Settings.PeersAddress});
+  Share.onHeartbeat(Heartbeat, Members.self());
+  if (Sender.DataCentre == Links.Settings.DataCentre)
+    Watchers.setContact(Sender.Name, Heartbeat.Platform);
+  else
+    RemoteVms.onHeard(Sender);
+  if (auto Pull = Sync.onHeartbeat(Heartbeat))
+    send(Sender.PeerAddress, *Pull);
 }
 
 void control_duty::on(const configuration_pull &Pull) {
-  send(Pull.ReplyTo,
-       configuration_push{Table.revision(),
-                          Table.recordsAfter(Pull.AfterRevision)});
+  for (configuration_push &Push : Sync.onPull(Pull))
+    send(Pull.ReplyTo, std::move(Push));
+}
+
+void control_duty::takeIn(const configuration_push &Push) {
+  bool First = Sync.table().revision() == 0;
+  bool Changed = false;
+  for (const configuration_record &Record : Sync.onPush(Push))
+    Changed = takeOver(Record) || Changed;
+  First = First && Sync.table().revision() > 0;
+  if (Changed || First)
+    publishCatalogue();
 }
 
 bool control_duty::takeOver(const configuration_record &Record) {
-  if (!Table.apply(Record))
-    return false;
   object_in_force &Object = InForce[{Record.Kind, Record.Name}];
   Object.Kind = Record.Kind;
   Object.Name = Record.Name;
@@ -124,14 +215,19 @@
   tellEngine(catalogue_changed{Catalogue});
 }
 
-void control_duty::publishSharers() {
-  unsigned Count = Members.sharers();
-  if (Count == Sharers)
+void control_duty::publishGrant() {
+  auto Grant = std::make_shared<const connection_grant>(Share.grant());
+  Links.Grant.set(Grant);
+  // A full ring loses a renewal, which the next heartbeat makes up for.
+  Links.ToEngine.push(grant_renewed{Grant});
+  if (Grant->Number == GrantLogged)
     return;
-  Sharers = Count;
-  Links.Events.add("sharers_changed", "", std::to_string(Count));
-  logInfo("event=sharers_changed count=" + std::to_string(Count));
-  tellEngine(sharers_changed{Count});
+  GrantLogged = Grant->Number;
+  std::string Sharers = std::to_string(Grant->Others.size() + 1);
+  Links.Events.add("sharers_changed", "",
+                   Sharers + (Grant->Settled ? "" : " not settled"));
+  logInfo("event=sharers_changed count=" + Sharers +
+          " settled=" + (Grant->Settled ? "true" : "false"));
 }
 
 void control_duty::publishRemotes() {
@@ -151,13 +247,23 @@
   auto Status = std::make_shared<node_status>();
   Status->Self = Members.self();
   Status->Peers = Members.peers();
-  Status->ConfigurationRevision = Table.revision();
-  Status->PlatformReachable = Links.PlatformReachable();
+  Status->ConfigurationRevision = Sync.table().revision();
+  Status->PlatformReachable = platformReached();
+  Status->Watching = Watching;
+  Status->PlatformBehind = PlatformBehind;
+  Status->SharesSettled = Share.grant().Settled;
+  Status->Sharers = Share.grant().Others.size() + 1;
   for (const auto &[Key, Object] : InForce)
     Status->Objects.push_back(Object);
   Links.Status.set(std::move(Status));
 }
 
+bool control_duty::platformReached() const {
+  if (Watching)
+    return Links.PlatformReachable();
+  return Watchers.anyReaches(Members.peers());
+}
+
 void control_duty::sendToPeers(peer_message Message) {
   auto Shared = std::make_shared<const peer_message>(std::move(Message));
   for (const member_info &Peer : Members.peers())
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.h
@@ -2,8 +2,11 @@
 #define MASTICPROXY_DAEMON_CONTROL_DUTY_H
 
 #include "masticproxy/src/Base/published.h"
-#include "masticproxy/src/Cluster/configuration_table.h"
+#include "masticproxy/src/Cluster/configuration_sync.h"
+#include "masticproxy/src/Cluster/connection_share.h"
+#include "masticproxy/src/Cluster/link_choice.h"
 #include "masticproxy/src/Cluster/membership.h"
+#include "masticproxy/src/Cluster/watcher_choice.h"
 #include "masticproxy/src/Daemon/control_links.h"
 #include "masticproxy/src/Daemon/daemon_rings.h"
 #include "masticproxy/src/Daemon/node_status.h"
@@ -33,13 +36,21 @@
   void leave();
 
 private:
-  void on(const configuration_push &Push);
+  void on(const platform_changed &Changed);
   void on(const vms_listed &Listed);
+  void on(const configuration_push &Push);
   void on(const heartbeat &Heartbeat);
   void on(const configuration_pull &Pull);
+  void takeIn(const configuration_push &Push);
   bool takeOver(const configuration_record &Record);
+  void decide();
+  void chooseWatching();
+  heartbeat makeHeartbeat();
+  void beatToOtherDataCentres(heartbeat Heartbeat);
+  platform_contact contact() const;
+  bool platformReached() const;
   void publishCatalogue();
-  void publishSharers();
+  void publishGrant();
   void publishRemotes();
   void tellEngine(const engine_update &Update);
   void publishStatus();
@@ -50,12 +61,17 @@
 
   control_links &Links;
   membership Members;
-  configuration_table Table;
+  connection_share Share;
+  configuration_sync Sync;
+  watcher_choice Watchers;
+  link_choice RemoteVms;
   std::shared_ptr<const query_catalogue> Catalogue;
   std::map<object_key, object_in_force> InForce;
-  std::string PullFrom;
   std::vector<member_info> Remotes;
-  unsigned Sharers = 0;
+  bool Watching = false;
+  bool PlatformBehind = false;
+  std::uint64_t Beats = 0;
+  std::uint64_t GrantLogged = 0;
 };
 
 } // namespace masticproxy
--- a/packages/daemon/masticproxy/src/Daemon/control_links.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_links.h
@@ -27,7 +27,12 @@
   update_ring &ToEngine;
   peer_outbox_ring &ToPeers;
   published<node_status> &Status;
+  published<connection_grant> &Grant;
   std::function<bool()> PlatformReachable;
+  /// Number of the newest grant that no open connection exceeds.
+  std::function<std::uint64_t()> AppliedGrant;
+  /// Starts or ends to watch the platform after a revision.
+  std::function<void(bool, std::uint64_t)> Follow;
 };
 
 } // namespace masticproxy
--- a/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPROXY_DAEMON_DAEMON_RINGS_H
 #define MASTICPROXY_DAEMON_DAEMON_RINGS_H
 
+#include "masticproxy/src/Cluster/connection_grant.h"
 #include "masticproxy/src/Cluster/member_info.h"
 #include "masticproxy/src/Cluster/peer_message.h"
 #include "masticproxy/src/Net/ring_channel.h"
@@ -14,9 +15,16 @@
 
 namespace masticproxy {
 
-/// \brief Tells the engine how many VMs share the upstreams' connections.
-struct sharers_changed {
-  unsigned Count = 1;
+/// \brief Tells the engine how many connections this VM may hold.
+struct grant_renewed {
+  std::shared_ptr<const connection_grant> Grant;
+};
+
+/// \brief What a watch of the platform gave.
+struct platform_changed {
+  configuration_push Changes;
+  /// Whether the platform is behind what was accepted.
+  bool Behind = false;
 };
 
 /// \brief Tells the engine which VMs stand in other data centres.
@@ -37,7 +45,7 @@
 
 /// From the control duty to the engine.
 using engine_update =
-    std::variant<catalogue_changed, sharers_changed, remotes_changed>;
+    std::variant<catalogue_changed, grant_renewed, remotes_changed>;
 /// From the engine to the upstreams duty.
 using upstream_command = std::variant<send_attempt, cancel_attempt>;
 /// From the upstreams duty to the engine.
@@ -48,7 +56,7 @@
 using relay_event = std::variant<attempt_answered, relay_failed, relay_arrived,
                                  relay_cancelled>;
 /// From the platform duty to control.
-using platform_event = std::variant<configuration_push, vms_listed>;
+using platform_event = std::variant<platform_changed, vms_listed>;
 
 using query_ring = ring_channel<query_arrived>;
 using outcome_ring = ring_channel<deliver_outcome>;
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -153,7 +153,7 @@
   else if (auto *Remotes = std::get_if<remotes_changed>(&Update))
     Engine.setRemotes(std::move(Remotes->Remotes));
   else
-    Engine.setSharers(std::get<sharers_changed>(Update).Count);
+    Engine.setGrant(std::move(std::get<grant_renewed>(Update).Grant));
 }
 
 void engine_thread::schedule() {
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -39,12 +39,13 @@
         Events(Timeline, Settings.TimelineEvents),
         Platform(Settings.PlatformAddress, Settings.PlatformCallTimeout,
                  PlatformStop.get_token()),
-        Engine(Clock, {Settings.Queries, 1, Settings.DataCentre}, Counters,
+        Engine(Clock, {Settings.Queries, Settings.DataCentre}, Counters,
                Events),
-        Upstreams(Clock, Counters), Callers(Settings, Counters, Events, Status),
+        Upstreams(Clock, Counters, Grant),
+        Callers(Settings, Counters, Events, Status),
         Relay(Clock, Timeline, Counters, Events, Settings.Name, Incarnation),
         Peers(Settings.PeersAddress, Counters),
-        PlatformDuty(Platform, Settings.PlatformWatchWait, Counters),
+        PlatformDuty(Platform, Clock, Settings.PlatformWatchWait, Counters),
         FromPlatform(ControlRingCapacity, [this] { wakeControl(); }),
         FromPeers(ControlRingCapacity, [this] { wakeControl(); }),
         Links{Settings,
@@ -57,7 +58,12 @@
               Engine.updates(),
               Peers.outbox(),
               Status,
-              [this] { return PlatformDuty.reachable(); }},
+              Grant,
+              [this] { return PlatformDuty.reachable(); },
+              [this] { return Upstreams.appliedGrant(); },
+              [this](bool Watch, std::uint64_t Revision) {
+                PlatformDuty.follow(Watch, Revision);
+              }},
         Duty(Links), Actors(ActorConfig) {
     Engine.connect(Upstreams.commands(), Callers.outcomes(), Relay.commands());
     Relay.connect(Engine.relayEvents());
@@ -78,6 +84,7 @@
   counter_registry Counters;
   event_log Events;
   published<node_status> Status;
+  published<connection_grant> Grant;
   std::stop_source PlatformStop;
   http_platform Platform;
   engine_thread Engine;
--- a/packages/daemon/masticproxy/src/Daemon/node_status.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/node_status.cpp
@@ -50,6 +50,10 @@
       {"peers", Peers},
       {"configuration_revision", Status.ConfigurationRevision},
       {"platform_reachable", Status.PlatformReachable},
+      {"watching", Status.Watching},
+      {"platform_behind", Status.PlatformBehind},
+      {"shares_settled", Status.SharesSettled},
+      {"sharers", Status.Sharers},
       {"objects", Objects}};
   return Root.dump() + "\n";
 }
--- a/packages/daemon/masticproxy/src/Daemon/node_status.h
+++ b/packages/daemon/masticproxy/src/Daemon/node_status.h
@@ -26,8 +26,17 @@
   member_info Self;
   std::vector<member_info> Peers;
   std::uint64_t ConfigurationRevision = 0;
-  /// Whether the last call to the platform was answered.
+  /// Whether this VM or, as far as it is heard, a VM that watches for it
+  /// reaches the platform.
   bool PlatformReachable = false;
+  /// Whether this VM watches the platform for the others.
+  bool Watching = false;
+  /// Whether the platform is behind what was accepted before.
+  bool PlatformBehind = false;
+  /// Whether this VM may hold connections to upstreams.
+  bool SharesSettled = false;
+  /// VMs that each upstream's connections are divided by.
+  std::size_t Sharers = 1;
   std::vector<object_in_force> Objects;
 };
 
--- a/packages/daemon/masticproxy/src/Daemon/platform_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/platform_thread.cpp
@@ -3,7 +3,6 @@
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Net/platform_api.h"
 
-#include <algorithm>
 #include <random>
 
 using namespace masticproxy;
@@ -12,7 +11,14 @@
 
 constexpr std::chrono::milliseconds FirstPause{50};
 constexpr std::chrono::milliseconds LongestPause{5000};
-constexpr unsigned MaxDoublings = 10;
+
+/// Each watch that ends by a change is followed by the next: a token for each
+/// call keeps a flood of edits from becoming a flood of calls.
+constexpr std::chrono::milliseconds CallInterval{250};
+constexpr unsigned CallBurst = 12;
+
+/// How often a platform that is behind what was accepted is read again.
+constexpr std::chrono::milliseconds BehindPause{2000};
 
 std::vector<member_info> toMembers(const std::vector<platform_vm> &Vms) {
   std::vector<member_info> Members;
@@ -39,10 +45,12 @@
 
 } // namespace
 
-platform_thread::platform_thread(platform_api &Platform,
+platform_thread::platform_thread(platform_api &Platform, const clock &Clock,
                                  std::chrono::milliseconds WatchWait,
                                  counter_registry &Counters)
-    : Platform(Platform), WatchWait(WatchWait), Counters(Counters) {}
+    : Platform(Platform), WatchWait(WatchWait), Counters(Counters),
+      Budget(Clock, CallInterval, CallBurst), Backoff(FirstPause, LongestPause),
+      Clock(Clock) {}
 
 platform_thread::~platform_thread() { stop(); }
 
@@ -60,54 +68,83 @@
     Thread.join();
 }
 
+void platform_thread::follow(bool Watch, std::uint64_t Revision) {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Watching = Watch;
+    KnownRevision = Revision;
+  }
+  Wake.notify_all();
+}
+
 void platform_thread::run() {
-  for (;;) {
-    {
-      std::lock_guard<std::mutex> Lock(Mutex);
-      if (Stopping)
-        return;
-    }
+  while (waitForDuty()) {
     bool Answered = followOnce();
     Reachable.store(Answered);
-    FailuresInARow = Answered ? 0 : FailuresInARow + 1;
-    if (!Answered)
-      pause();
+    if (!Answered) {
+      pause(pauseAfterFailure());
+      continue;
+    }
+    Backoff.onSuccess();
+    if (Follower.behind())
+      pause(BehindPause);
   }
 }
 
+bool platform_thread::waitForDuty() {
+  std::unique_lock<std::mutex> Lock(Mutex);
+  Wake.wait(Lock, [this] { return Stopping || Watching; });
+  Follower.followFrom(KnownRevision);
+  return !Stopping;
+}
+
 bool platform_thread::followOnce() {
   listVms();
-  Counters.get("platform_calls_total").add();
+  if (!spendCall())
+    return true;
   // The first watch returns at once, with all objects there are.
-  platform_changes_result Result = Platform.watch(Revision, WatchWait);
+  std::uint64_t After = Follower.watchAfter();
+  platform_changes_result Result = Platform.watch(After, WatchWait);
   auto *Changes = std::get_if<platform_changes>(&Result);
   if (!Changes) {
     Counters.get("platform_errors_total").add();
     return false;
   }
-  Revision = std::max(Revision, Changes->Revision);
-  push(toPush(*Changes));
+  configuration_push Push = Follower.onAnswer(After, toPush(*Changes));
+  push(platform_changed{std::move(Push), Follower.behind()});
   return true;
 }
 
 void platform_thread::listVms() {
-  Counters.get("platform_calls_total").add();
+  if (Clock.now() < NextListing || !spendCall())
+    return;
   platform_vms_result Result = Platform.listVms();
-  if (auto *Vms = std::get_if<std::vector<platform_vm>>(&Result))
+  if (auto *Vms = std::get_if<std::vector<platform_vm>>(&Result)) {
     push(vms_listed{toMembers(*Vms)});
+    NextListing = Clock.now() + WatchWait;
+  }
+}
+
+bool platform_thread::spendCall() {
+  while (!Budget.take()) {
+    Counters.get("platform_calls_held_back_total").add();
+    pause(Budget.untilNext());
+    std::lock_guard<std::mutex> Lock(Mutex);
+    if (Stopping)
+      return false;
+  }
+  Counters.get("platform_calls_total").add();
+  return true;
 }
 
-void platform_thread::pause() {
+duration platform_thread::pauseAfterFailure() {
   thread_local std::minstd_rand Random{std::random_device{}()};
-  unsigned Doublings = std::min(FailuresInARow, MaxDoublings);
-  auto Longest = std::min(LongestPause, FirstPause * (1U << Doublings));
-  // A random share of the pause keeps the VMs from calling all at once when
-  // the platform comes back.
-  std::uniform_int_distribution<std::int64_t> Spread(Longest.count() / 2,
-                                                     Longest.count());
+  return Backoff.onFailure(std::uniform_real_distribution<>(0, 1)(Random));
+}
+
+void platform_thread::pause(duration Span) {
   std::unique_lock<std::mutex> Lock(Mutex);
-  Wake.wait_for(Lock, std::chrono::milliseconds(Spread(Random)),
-                [this] { return Stopping; });
+  Wake.wait_for(Lock, Span, [this] { return Stopping; });
 }
 
 void platform_thread::push(const platform_event &Event) {
--- a/packages/daemon/masticproxy/src/Daemon/platform_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/platform_thread.h
@@ -1,7 +1,9 @@
 #ifndef MASTICPROXY_DAEMON_PLATFORM_THREAD_H
 #define MASTICPROXY_DAEMON_PLATFORM_THREAD_H
 
-#include "masticproxy/src/Base/published.h"
+#include "masticproxy/src/Base/retry_backoff.h"
+#include "masticproxy/src/Base/token_bucket.h"
+#include "masticproxy/src/Cluster/platform_follower.h"
 #include "masticproxy/src/Daemon/daemon_rings.h"
 
 #include <atomic>
@@ -16,10 +18,12 @@
 class counter_registry;
 class platform_api;
 
-/// \brief Follows the platform's objects and its list of VMs.
+/// \brief Follows the platform's objects and its list of VMs while this VM is
+/// chosen to; makes no call otherwise.
 class platform_thread {
 public:
-  platform_thread(platform_api &Platform, std::chrono::milliseconds WatchWait,
+  platform_thread(platform_api &Platform, const clock &Clock,
+                  std::chrono::milliseconds WatchWait,
                   counter_registry &Counters);
   ~platform_thread();
 
@@ -29,14 +33,20 @@
   void start();
   void stop();
 
+  /// Starts or ends to watch; \p Revision is what is known from elsewhere.
+  void follow(bool Watch, std::uint64_t Revision);
+
   /// \returns whether the last call was answered.
   bool reachable() const { return Reachable.load(); }
 
 private:
   void run();
+  bool waitForDuty();
   bool followOnce();
   void listVms();
-  void pause();
+  bool spendCall();
+  void pause(duration Span);
+  duration pauseAfterFailure();
   void push(const platform_event &Event);
 
   platform_api &Platform;
@@ -44,11 +54,16 @@
   counter_registry &Counters;
   platform_event_ring *Control = nullptr;
   std::atomic<bool> Reachable{false};
-  std::uint64_t Revision = 0;
-  unsigned FailuresInARow = 0;
+  platform_follower Follower;
+  token_bucket Budget;
+  retry_backoff Backoff;
+  const clock &Clock;
+  time_point NextListing{};
   std::mutex Mutex;
   std::condition_variable Wake;
   bool Stopping = false;
+  bool Watching = false;
+  std::uint64_t KnownRevision = 0;
   std::thread Thread;
 };
 
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -17,11 +17,16 @@
 /// Longest wait for the answer to a cancellation.
 constexpr std::chrono::milliseconds CancelTimeout{500};
 
+/// How often open connections are compared with this VM's share.
+constexpr std::chrono::milliseconds ApplyInterval{50};
+
 } // namespace
 
 upstreams_thread::upstreams_thread(const clock &Clock,
-                                   counter_registry &Counters)
-    : Clock(Clock), Counters(Counters), Commands(RequestRingCapacity, [this] {
+                                   counter_registry &Counters,
+                                   const published<connection_grant> &Grant)
+    : Clock(Clock), Counters(Counters), Grant(Grant),
+      ApplyTimer(Loop.context()), Commands(RequestRingCapacity, [this] {
         Loop.post([this] {
           Commands.drain([this](upstream_command C) {
             std::visit([this](auto V) { carryOut(std::move(V)); },
@@ -30,10 +35,15 @@
         });
       }) {}
 
+void upstreams_thread::start() {
+  scheduleApply();
+  Loop.start();
+}
+
 void upstreams_thread::stop() {
   Loop.stop();
   Open.clear();
-  Idle.clear();
+  Connections.clear();
 }
 
 void upstreams_thread::carryOut(const send_attempt &Command) {
@@ -42,7 +52,13 @@
       Command.Deadline - Clock.now());
   if (Remaining.count() <= 0)
     return report(attempt_failed{Attempt, attempt_failure::NotSent});
+  Connections[Command.Upstream].Limit = Command.Connections;
   connection Connection = takeConnection(Command.Upstream);
+  if (!Connection) {
+    // The share shrank after the engine had decided.
+    Counters.get("upstream_share_refusals_total").add();
+    return report(attempt_failed{Attempt, attempt_failure::NotSent});
+  }
   Open.emplace(Attempt, open_attempt{Command.Upstream, Connection});
   Connection->exchange(
       toUpstreamRequest(Command, Remaining), Remaining + DeadlineGrace,
@@ -55,16 +71,15 @@
     return;
   // Only a spare connection carries a cancellation: a new one would go above
   // this VM's share, and the attempt's deadline ends it anyhow.
-  idle_list &Spare = Idle[Found->second.Upstream];
-  if (Spare.empty())
-    return;
-  connection Connection = std::move(Spare.front());
-  Spare.pop_front();
   std::string Upstream = Found->second.Upstream;
+  if (Connections[Upstream].Idle.empty())
+    return;
+  connection Connection = takeConnection(Upstream);
+  if (!Connection)
+    return;
   Connection->exchange(toCancelRequest(Command.Attempt), CancelTimeout,
                        [this, Upstream, Connection](const exchange_result &) {
-                         if (Connection->warm())
-                           Idle[Upstream].push_front(Connection);
+                         giveBack(Upstream, Connection);
                        });
 }
 
@@ -74,8 +89,7 @@
     return;
   open_attempt Ended = std::move(Found->second);
   Open.erase(Found);
-  if (Ended.Connection->warm())
-    Idle[Ended.Upstream].push_front(Ended.Connection);
+  giveBack(Ended.Upstream, std::move(Ended.Connection));
   if (auto *Response = std::get_if<http_response>(&Result))
     return std::visit([this](auto E) { report(std::move(E)); },
                       fromUpstreamResponse(Attempt, std::move(*Response)));
@@ -93,12 +107,64 @@
 
 upstreams_thread::connection
 upstreams_thread::takeConnection(const std::string &Upstream) {
-  idle_list &Spare = Idle[Upstream];
-  if (!Spare.empty()) {
-    connection Connection = std::move(Spare.front());
-    Spare.pop_front();
+  upstream_connections &Held = Connections[Upstream];
+  if (Held.Busy >= places(Upstream))
+    return nullptr;
+  ++Held.Busy;
+  if (!Held.Idle.empty()) {
+    connection Connection = std::move(Held.Idle.front());
+    Held.Idle.pop_front();
     return Connection;
   }
   Counters.get("upstream_connections_total").add();
   return std::make_shared<http_connection>(Loop.context(), Upstream);
 }
+
+void upstreams_thread::giveBack(const std::string &Upstream,
+                                connection Connection) {
+  upstream_connections &Held = Connections[Upstream];
+  --Held.Busy;
+  if (!Connection->warm())
+    return;
+  // A new connection is dear, so an idle one is kept while the share allows.
+  Held.Idle.push_front(std::move(Connection));
+  closeExcess(Upstream);
+}
+
+unsigned upstreams_thread::places(const std::string &Upstream) const {
+  std::shared_ptr<const connection_grant> Newest = Grant.get();
+  auto Found = Connections.find(Upstream);
+  if (!Newest || Found == Connections.end())
+    return 0;
+  return Newest->places(Upstream, Found->second.Limit, Clock.now());
+}
+
+void upstreams_thread::applyGrant() {
+  std::shared_ptr<const connection_grant> Newest = Grant.get();
+  bool Within = true;
+  for (const auto &[Upstream, Held] : Connections)
+    Within = closeExcess(Upstream) && Within;
+  if (Newest && Within)
+    AppliedGrant.store(Newest->Number);
+}
+
+bool upstreams_thread::closeExcess(const std::string &Upstream) {
+  upstream_connections &Held = Connections[Upstream];
+  unsigned Allowed = places(Upstream);
+  while (!Held.Idle.empty() && Held.Idle.size() + Held.Busy > Allowed) {
+    Held.Idle.back()->close();
+    Held.Idle.pop_back();
+    Counters.get("upstream_connections_closed_total").add();
+  }
+  return Held.Busy <= Allowed;
+}
+
+void upstreams_thread::scheduleApply() {
+  ApplyTimer.expires_after(ApplyInterval);
+  ApplyTimer.async_wait([this](const boost::system::error_code &Error) {
+    if (Error)
+      return;
+    applyGrant();
+    scheduleApply();
+  });
+}
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
@@ -2,10 +2,15 @@
 #define MASTICPROXY_DAEMON_UPSTREAMS_THREAD_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Base/published.h"
+#include "masticproxy/src/Cluster/connection_grant.h"
 #include "masticproxy/src/Daemon/daemon_rings.h"
 #include "masticproxy/src/Daemon/loop_thread.h"
 #include "masticproxy/src/Net/http_connection.h"
 
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
 #include <list>
 #include <map>
 #include <memory>
@@ -17,23 +22,36 @@
 class counter_registry;
 
 /// \brief Carries attempts to upstreams over kept-alive HTTP connections.
+///
+/// No connection is opened above this VM's share, whatever the engine asks
+/// for, and those above a share that shrank are closed.
 class upstreams_thread {
 public:
-  upstreams_thread(const clock &Clock, counter_registry &Counters);
+  upstreams_thread(const clock &Clock, counter_registry &Counters,
+                   const published<connection_grant> &Grant);
 
   /// Sets the ring that results go to; before start().
   void connect(upstream_event_ring &NewEngine) { Engine = &NewEngine; }
 
   upstream_command_ring &commands() { return Commands; }
 
-  void start() { Loop.start(); }
+  void start();
   void stop();
 
+  /// \returns the number of the newest grant that no open connection exceeds.
+  std::uint64_t appliedGrant() const { return AppliedGrant.load(); }
+
 private:
   using connection = std::shared_ptr<http_connection>;
 
-  /// The idle connections of one upstream, last used first.
-  using idle_list = std::list<connection>;
+  /// The connections to one upstream.
+  struct upstream_connections {
+    /// Last used first.
+    std::list<connection> Idle;
+    unsigned Busy = 0;
+    /// Connections the upstream accepts, over all VMs.
+    unsigned Limit = 0;
+  };
 
   struct open_attempt {
     std::string Upstream;
@@ -45,13 +63,21 @@
   void finish(attempt_id Attempt, exchange_result Result);
   void report(const upstream_event &Event);
   connection takeConnection(const std::string &Upstream);
+  void giveBack(const std::string &Upstream, connection Connection);
+  unsigned places(const std::string &Upstream) const;
+  void applyGrant();
+  bool closeExcess(const std::string &Upstream);
+  void scheduleApply();
 
   const clock &Clock;
   counter_registry &Counters;
+  const published<connection_grant> &Grant;
   loop_thread Loop;
+  boost::asio::steady_timer ApplyTimer;
+  std::atomic<std::uint64_t> AppliedGrant{0};
   upstream_command_ring Commands;
   upstream_event_ring *Engine = nullptr;
-  std::map<std::string, idle_list> Idle;
+  std::map<std::string, upstream_connections> Connections;
   std::unordered_map<attempt_id, open_attempt> Open;
 };
 
--- a/packages/wire/masticproxy/src/Wire/peer_codec.cpp
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.cpp
@@ -17,7 +17,7 @@
   return wire::CreateMember(Out, Out.CreateString(M.Name),
                             Out.CreateString(M.DataCentre),
                             Out.CreateString(M.PeerAddress), M.Incarnation,
-                            static_cast<std::uint8_t>(M.State));
+                            static_cast<std::uint8_t>(M.State), M.Counted);
 }
 
 member_info unpackMember(const wire::Member &M) {
@@ -27,6 +27,7 @@
   Info.PeerAddress = text(M.peer_address());
   Info.Incarnation = M.incarnation();
   Info.State = static_cast<member_state>(M.state());
+  Info.Counted = M.counted();
   return Info;
 }
 
@@ -44,9 +45,10 @@
     for (const member_info &Member : M.Members)
       Members.push_back(packMember(Out, Member));
     auto Sender = packMember(Out, M.Sender);
-    auto Packed = wire::CreateHeartbeat(Out, Sender, M.Sequence,
-                                        Out.CreateVector(Members),
-                                        M.ConfigurationRevision);
+    auto Packed = wire::CreateHeartbeat(
+        Out, Sender, M.Sequence, Out.CreateVector(Members),
+        M.ConfigurationRevision, M.ConfigurationDigest,
+        static_cast<std::uint8_t>(M.Platform));
     return {wire::PeerBody::Heartbeat, Packed.Union()};
   }
 
@@ -57,8 +59,8 @@
       Records.push_back(wire::CreateConfigurationRecord(
           Out, Out.CreateString(R.Kind), Out.CreateString(R.Name), R.Version,
           R.Deleted, Out.CreateString(R.Value)));
-    auto Packed = wire::CreateConfigurationPush(Out, M.Revision,
-                                                Out.CreateVector(Records));
+    auto Packed = wire::CreateConfigurationPush(
+        Out, M.Revision, M.AfterRevision, Out.CreateVector(Records));
     return {wire::PeerBody::ConfigurationPush, Packed.Union()};
   }
 
@@ -75,7 +77,10 @@
   Result.Sender = unpackMember(*M.sender());
   Result.Sequence = M.sequence();
   Result.ConfigurationRevision = M.configuration_revision();
-  bool Valid = isKnown(Result.Sender.State);
+  Result.ConfigurationDigest = M.configuration_digest();
+  Result.Platform = static_cast<platform_contact>(M.platform());
+  bool Valid =
+      isKnown(Result.Sender.State) && Result.Platform <= platform_contact::Lost;
   if (M.members())
     for (const wire::Member *Member : *M.members()) {
       Result.Members.push_back(unpackMember(*Member));
@@ -90,6 +95,7 @@
 unpack(const wire::ConfigurationPush &M) {
   configuration_push Result;
   Result.Revision = M.revision();
+  Result.AfterRevision = M.after_revision();
   if (M.records())
     for (const wire::ConfigurationRecord *R : *M.records())
       Result.Records.push_back({text(R->kind()), text(R->name()), R->version(),
--- a/packages/wire/tests/frame_test.cpp
+++ b/packages/wire/tests/frame_test.cpp
@@ -18,6 +18,7 @@
   Member.PeerAddress = *rc::gen::arbitrary<std::string>();
   Member.Incarnation = *rc::gen::arbitrary<std::uint64_t>();
   Member.State = static_cast<member_state>(*rc::gen::inRange(0, 4));
+  Member.Counted = *rc::gen::arbitrary<bool>();
   return Member;
 }
 
@@ -39,6 +40,10 @@
     Message.Sender = anyMember();
     Message.Sequence = *rc::gen::arbitrary<std::uint64_t>();
     Message.ConfigurationRevision = *rc::gen::arbitrary<std::uint64_t>();
+    Message.ConfigurationDigest = *rc::gen::arbitrary<std::uint64_t>();
+    Message.Platform =
+        *rc::gen::element(platform_contact::NotWatching,
+                          platform_contact::Watching, platform_contact::Lost);
     for (int I = 0; I < Count; ++I)
       Message.Members.push_back(anyMember());
     return Message;
@@ -46,6 +51,7 @@
   case 1: {
     configuration_push Message;
     Message.Revision = *rc::gen::arbitrary<std::uint64_t>();
+    Message.AfterRevision = *rc::gen::arbitrary<std::uint64_t>();
     for (int I = 0; I < Count; ++I)
       Message.Records.push_back(anyRecord());
     return Message;
