--- a/packages/core/tests/query_engine_test.cpp
+++ b/packages/core/tests/query_engine_test.cpp
@@ -73,6 +73,14 @@
   cr_assert(F.Engine.running() == 0);
 }
 
+Test(query_engine, refuses_and_says_why_before_any_configuration) {
+  manual_clock Clock;
+  query_engine Engine{Clock, {16, "dc1"}};
+  auto Commands = Engine.handle(query_arrived{1, "r", "p", "i", "{}"});
+  cr_assert(delivers<not_run>(Commands));
+  cr_assert(attemptsIn(Commands).empty());
+}
+
 Test(query_engine, names_an_unknown_profile_without_running) {
   engine_fixture F(/*MayRepeat=*/true);
   auto Commands = F.arrive(1, "none");
--- a/packages/testing/masticproxy/src/StandIns/platform_stub.cpp
+++ b/packages/testing/masticproxy/src/StandIns/platform_stub.cpp
@@ -165,6 +165,10 @@
                           http_server::responder Respond) {
   std::uint64_t After = numberParameter(Request, "after");
   std::chrono::milliseconds Wait(numberParameter(Request, "wait_ms"));
+  if (Faults.StaleReads > 0) {
+    --Faults.StaleReads;
+    return Respond(changesResponse(StaleStore.changesAfter(After, {})));
+  }
   platform_changes Changes = Store.changesAfter(After, {});
   if (!Changes.Objects.empty())
     return Respond(changesResponse(Changes));
