--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -128,7 +128,7 @@
 /// An engine under way with one index of 160 shards.
 struct engine_bench {
   explicit engine_bench(std::size_t Connections)
-      : Engine(Clock, {100000, 1, "dc"}) {
+      : Engine(Clock, {100000, "dc"}) {
     auto Map = std::make_shared<index_snapshot>();
     Map->Id = "s1";
     for (std::size_t S = 0; S < Shards; ++S) {
--- a/docs/examples/drive_engine.cpp
+++ b/docs/examples/drive_engine.cpp
@@ -50,7 +50,7 @@
 
 int main() {
   still_clock Clock;
-  query_engine Engine(Clock, {/*Queries=*/16, /*Sharers=*/1, "dc1"});
+  query_engine Engine(Clock, {/*Queries=*/16, "dc1"});
   Engine.handle(catalogue_changed{makeCatalogue()});
   std::vector<send_attempt> Attempts =
       print(Engine.handle(query_arrived{1, "r-1", "lookup", "orders", "{}"}));
--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -24,6 +24,8 @@
   std::shared_ptr<const std::string> Body;
   time_point Deadline;
   attempt_kind Kind = attempt_kind::First;
+  /// Connections the upstream accepts, over all VMs.
+  unsigned Connections = 1;
 };
 
 /// \brief Ask the upstream to stop an attempt whose result is not needed.
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -17,7 +17,6 @@
       Upstreams(makePolicy(this->Limits.Policy, this->Limits.Seed)),
       Inbox(this->Limits.Relayed) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
-  Upstreams.setSharers(this->Limits.Sharers);
 }
 
 query_engine::~query_engine() = default;
@@ -43,6 +42,9 @@
 }
 
 void query_engine::on(query_arrived Event) {
+  if (!Configured)
+    return refuse(Event, not_run{"no configuration yet: neither the platform "
+                                 "nor a peer gave one"});
   const profile *Profile = Catalogue->findProfile(Event.Profile);
   if (!Profile)
     return refuse(Event, unknown_profile{});
@@ -102,6 +104,7 @@
 
 void query_engine::on(catalogue_changed Event) {
   Catalogue = std::move(Event.Catalogue);
+  Configured = true;
   for (auto &[Ticket, Run] : Runs)
     restartIfDue(Ticket, Run);
 }
@@ -166,7 +169,7 @@
   Commands.push_back(send_attempt{Attempt, Run.requestId(), Target.Address,
                                   Run.indexName(), Run.snapshot().Id,
                                   Run.snapshot().Shards[Shard].Id, Run.body(),
-                                  Run.deadline(), Kind});
+                                  Run.deadline(), Kind, Target.Connections});
 }
 
 void query_engine::startWaiting(std::optional<waiting_shard> Next) {
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -116,8 +116,7 @@
     bool WasTried =
         std::find(Tried.begin(), Tried.end(), Replica.Address) != Tried.end();
     Set.push_back({&Replica, &State.Health, State.InFlight,
-                   shareOf(Replica.Connections), shareOf(Replica.Slots),
-                   WasTried});
+                   placesAt(Replica, Now), slotShare(Replica, Now), WasTried});
   }
   return Set;
 }
@@ -130,8 +129,11 @@
   return Found->second;
 }
 
-unsigned upstream_table::shareOf(unsigned Whole) const {
-  return std::max(1U, Whole / Sharers);
+unsigned upstream_table::slotShare(const replica &Replica,
+                                   time_point Now) const {
+  unsigned Places = placesAt(Replica, Now);
+  return std::max(1U,
+                  Replica.Slots * Places / std::max(1U, Replica.Connections));
 }
 
 void upstream_table::observe(const attempt_facts &Attempt) {
@@ -141,3 +143,10 @@
     return;
   std::visit([&](auto &P) { P.observe(Attempt.Index, Attempt.Age); }, Policy);
 }
+
+unsigned upstream_table::placesAt(const replica &Replica,
+                                  time_point Now) const {
+  if (!Grant)
+    return Replica.Connections;
+  return Grant->places(Replica.Address, Replica.Connections, Now);
+}
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -2,12 +2,14 @@
 #define MASTICPROXY_QUERY_UPSTREAM_TABLE_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Cluster/connection_grant.h"
 #include "masticproxy/src/Routing/attempt_facts.h"
 #include "masticproxy/src/Routing/candidate.h"
 #include "masticproxy/src/Routing/routing_policy.h"
 #include "masticproxy/src/Routing/upstream_health.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -29,8 +31,11 @@
   /// Sets the data centre whose upstreams may be chosen.
   void setDataCentre(std::string Name) { DataCentre = std::move(Name); }
 
-  /// Sets how many VMs of the data centre share each upstream's connections.
-  void setSharers(unsigned Count) { Sharers = Count == 0 ? 1 : Count; }
+  /// Sets how many connections this VM may hold to each upstream; all that
+  /// the upstream accepts before the first call.
+  void setGrant(std::shared_ptr<const connection_grant> NewGrant) {
+    Grant = std::move(NewGrant);
+  }
 
   /// \returns the best replica with a free place that is not in \p Tried and
   /// not draining, or null.
@@ -92,12 +97,13 @@
                                     std::span<const std::string> Tried,
                                     time_point Now);
   upstream_state &stateOf(std::string_view Upstream, time_point Now);
-  unsigned shareOf(unsigned Whole) const;
+  unsigned placesAt(const replica &Replica, time_point Now) const;
+  unsigned slotShare(const replica &Replica, time_point Now) const;
   void observe(const attempt_facts &Attempt);
 
   routing_policy Policy;
   std::string DataCentre;
-  unsigned Sharers = 1;
+  std::shared_ptr<const connection_grant> Grant;
   std::map<std::string, upstream_state, std::less<>> States;
 };
 
--- a/packages/core/tests/query_engine_property_test.cpp
+++ b/packages/core/tests/query_engine_property_test.cpp
@@ -41,7 +41,7 @@
 class engine_run {
 public:
   engine_run(policy_name Policy, tampering Tamper)
-      : Engine(Clock, {16, 1, "dc1", Policy}), Tamper(std::move(Tamper)) {
+      : Engine(Clock, {16, "dc1", Policy}), Tamper(std::move(Tamper)) {
     handle(catalogue_changed{makeCatalogue()});
   }
 
--- a/packages/core/tests/relay_world.h
+++ b/packages/core/tests/relay_world.h
@@ -70,7 +70,7 @@
   struct node {
     node(const clock &Clock, std::string NewName, const std::string &Centre)
         : Name(std::move(NewName)), DataCentre(Centre),
-          Engine(Clock, {16, 1, Centre, policy_name::Adaptive, 1, 16}) {}
+          Engine(Clock, {16, Centre, policy_name::Adaptive, 1, 16}) {}
     std::string Name;
     std::string DataCentre;
     query_engine Engine;
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -195,10 +195,17 @@
 }
 
 http_response callers_thread::ready() const {
-  if (Ready.load() && configured())
+  std::shared_ptr<const node_status> Newest = Status.get();
+  std::string Reason;
+  if (!Ready.load())
+    Reason = "leaving\n";
+  else if (!configured())
+    Reason = whyNotConfigured() + "\n";
+  else if (!Newest->SharesSettled)
+    Reason = "no share of the upstreams' connections yet\n";
+  else
     return plainText("ready\n");
-  http_response Response =
-      plainText(Ready.load() ? whyNotConfigured() + "\n" : "leaving\n");
+  http_response Response = plainText(std::move(Reason));
   Response.Status = StatusUnavailable;
   return Response;
 }
