Claim the ids of non-idempotent requests at the platform

Cause: a request that may not run twice was guarded only within one VM's run. The same id sent again, to the same VM or another, ran again.

Ruled out: one platform read per request to look for a claim (a read before a write leaves a gap); reading back a claim whose answer was lost (reads can be stale, and the write may land after the read). A create-only write is instead sent again: its conflict names the holder, which is this arrival or another.

Change: module Claims. A non-idempotent request runs only after the object of kind `claim` with its id was created. Ids carry their time; ids older than five minutes are not claimed, so claim objects older than that, twice the skew added, are swept. A request that ended as not_run gives its claim back.

The engine's unit tests now use an id with a time and grant its claim; what they require is unchanged.

--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_QUERY_ENGINE_COMMAND_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Claims/claim_wanted.h"
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/query_outcome.h"
 
@@ -37,7 +38,8 @@
 
 /// \brief All that the query engine asks its surroundings to do.
 using engine_command =
-    std::variant<send_attempt, cancel_attempt, deliver_outcome>;
+    std::variant<send_attempt, cancel_attempt, deliver_outcome, claim_wanted,
+                 claim_unused>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPROXY_QUERY_ENGINE_EVENT_H
 #define MASTICPROXY_QUERY_ENGINE_EVENT_H
 
+#include "masticproxy/src/Claims/claim_decision.h"
 #include "masticproxy/src/Query/partial_answer.h"
 
 #include <cstdint>
@@ -67,7 +68,7 @@
 /// \brief All that the query engine reacts to.
 using engine_event =
     std::variant<query_arrived, attempt_answered, attempt_failed,
-                 catalogue_changed, timer_fired, leave_started>;
+                 catalogue_changed, timer_fired, leave_started, claim_decision>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -50,6 +50,9 @@
   const index_map *Index = Catalogue->findIndex(Event.Index);
   if (!Index)
     return refuse(Event, unknown_index{});
+  if (!Profile->MayRepeat)
+    if (std::optional<query_outcome> Refusal = refusalOfId(Event.RequestId))
+      return refuse(Event, std::move(*Refusal));
   if (Leaving)
     return refuse(Event, not_run{"this VM is leaving"});
   if (Runs.size() >= Limits.Queries)
@@ -62,6 +65,8 @@
   if (!Added)
     return;
   Deadlines.emplace(Deadline, Ticket);
+  if (!Profile->MayRepeat)
+    return awaitClaim(Ticket, Position->second);
   startShards(Ticket, Position->second);
   finishIfOver(Ticket);
 }
@@ -140,9 +145,9 @@
   Run.attemptStarted(Shard, Attempt, Chosen->Address);
   Attempts.emplace(Attempt, attempt_record{Ticket, Shard, Run.generation(),
                                            Chosen->Address});
-  Commands.push_back(send_attempt{Attempt, Run.requestId(), Chosen->Address,
-                                  Run.indexName(), Run.snapshot().Id, Target.Id,
-                                  Run.body(), Run.deadline()});
+  Commands.emplace_back(send_attempt{Attempt, Run.requestId(), Chosen->Address,
+                                     Run.indexName(), Run.snapshot().Id,
+                                     Target.Id, Run.body(), Run.deadline()});
 }
 
 void query_engine::startWaiting() {
@@ -194,10 +199,14 @@
 }
 
 void query_engine::finish(run_map::iterator Run) {
+  finishWith(Run, Run->second.finish());
+}
+
+void query_engine::finishWith(run_map::iterator Run, query_outcome Outcome) {
   Deadlines.erase({Run->second.deadline(), Run->first});
-  std::string RequestId = Run->second.requestId();
-  Commands.push_back(
-      deliver_outcome{Run->first, RequestId, Run->second.finish()});
+  releaseClaim(Run->second, Outcome);
+  Commands.emplace_back(
+      deliver_outcome{Run->first, Run->second.requestId(), std::move(Outcome)});
   cancelOpen(Run->second);
   Runs.erase(Run);
 }
@@ -205,10 +214,10 @@
 void query_engine::cancelOpen(query_run &Run) {
   for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
     for (attempt_id Attempt : Run.openAttempts(I))
-      Commands.push_back(cancel_attempt{Attempt});
+      Commands.emplace_back(cancel_attempt{Attempt});
 }
 
 void query_engine::refuse(const query_arrived &Request, query_outcome Outcome) {
-  Commands.push_back(
+  Commands.emplace_back(
       deliver_outcome{Request.Ticket, Request.RequestId, std::move(Outcome)});
 }
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_QUERY_QUERY_ENGINE_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Claims/claim_timing.h"
 #include "masticproxy/src/Query/engine_command.h"
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/query_run.h"
@@ -26,6 +27,8 @@
   unsigned Sharers = 1;
   /// Data centre of this VM; upstreams of others are not spoken to.
   std::string DataCentre;
+  /// How long request ids that may not run twice can be used.
+  claim_timing Claims = {};
 };
 
 /// \brief Decides all that happens to the requests of one VM.
@@ -65,6 +68,7 @@
   void on(catalogue_changed Event);
   void on(timer_fired Event);
   void on(leave_started Event);
+  void on(claim_decision Event);
 
   void startShards(query_ticket Ticket, query_run &Run);
   void startShard(query_ticket Ticket, query_run &Run, std::size_t Shard);
@@ -76,7 +80,11 @@
   bool restartIfDue(query_ticket Ticket, query_run &Run);
   void finishIfOver(query_ticket Ticket);
   void finish(run_map::iterator Run);
+  void finishWith(run_map::iterator Run, query_outcome Outcome);
   void cancelOpen(query_run &Run);
+  std::optional<query_outcome> refusalOfId(const std::string &RequestId) const;
+  void awaitClaim(query_ticket Ticket, query_run &Run);
+  void releaseClaim(const query_run &Run, const query_outcome &Outcome);
   void refuse(const query_arrived &Request, query_outcome Outcome);
 
   const clock &Clock;
--- a/packages/core/masticproxy/src/Query/query_outcome.h
+++ b/packages/core/masticproxy/src/Query/query_outcome.h
@@ -33,6 +33,11 @@
   coverage Coverage;
 };
 
+/// \brief The request can't be admitted as it is; it was not run.
+struct bad_request {
+  std::string Reason;
+};
+
 /// \brief No profile of that name is in force.
 struct unknown_profile {};
 
@@ -41,7 +46,7 @@
 
 /// \brief What becomes of a request; exactly one for each.
 using query_outcome = std::variant<answered, not_run, outcome_unknown, too_late,
-                                   unknown_profile, unknown_index>;
+                                   unknown_profile, unknown_index, bad_request>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -16,6 +16,8 @@
 
 bool query_run::wantsAttempt(std::size_t Shard) const {
   const shard_state &State = Shards[Shard];
+  if (Claim.awaited())
+    return false;
   if (Partial.has(Shard) || !State.Open.empty())
     return false;
   return Profile.MayRepeat || !State.MayHaveRun;
@@ -61,6 +63,8 @@
 }
 
 bool query_run::hopeless() const {
+  if (Claim.awaited())
+    return false;
   coverage Reachable = Partial.stated();
   for (std::size_t I = 0; I < Shards.size(); ++I)
     if (!Partial.has(I) && (!Shards[I].Open.empty() || wantsAttempt(I)))
@@ -76,6 +80,8 @@
   if (Enough)
     return answered{std::string(Partial.snapshot()), Stated,
                     Partial.takeResults()};
+  if (Claim.awaited())
+    return not_run{"no claim was confirmed within the profile's wait"};
   if (nothingRan())
     return not_run{"no upstream took the request within the profile's wait"};
   if (!Profile.MayRepeat)
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -7,6 +7,7 @@
 #include "masticproxy/src/Query/partial_answer.h"
 #include "masticproxy/src/Query/profile.h"
 #include "masticproxy/src/Query/query_outcome.h"
+#include "masticproxy/src/Query/run_claim.h"
 
 #include <memory>
 #include <optional>
@@ -35,6 +36,10 @@
   const profile &rules() const { return Profile; }
   time_point deadline() const { return Deadline; }
 
+  /// \returns the claim that the run needs before it may start.
+  run_claim &claim() { return Claim; }
+  const run_claim &claim() const { return Claim; }
+
   /// \returns whether the shard needs an attempt now: it has no result, no
   /// open attempt, and a further attempt is allowed.
   bool wantsAttempt(std::size_t Shard) const;
@@ -111,6 +116,7 @@
   time_point Deadline;
   partial_answer Partial;
   std::vector<shard_state> Shards;
+  run_claim Claim;
   unsigned Generation = 0;
   bool SnapshotGone = false;
 };
--- a/packages/core/tests/query_engine_test.cpp
+++ b/packages/core/tests/query_engine_test.cpp
@@ -13,6 +13,11 @@
 
 constexpr milliseconds Wait{100};
 
+/// Carries the time at which manual_clock starts.
+constexpr const char *RequestId = "0000003600000-r";
+
+constexpr std::uint64_t ClaimVersion = 7;
+
 /// An engine with one index of two shards of two replicas.
 struct engine_fixture {
   explicit engine_fixture(bool MayRepeat, double Coverage = 1.0) {
@@ -33,7 +38,13 @@
 
   std::vector<engine_command> arrive(query_ticket Ticket,
                                      const std::string &Profile = "p") {
-    return Engine.handle(query_arrived{Ticket, "r", Profile, "i", "{}"});
+    auto Commands =
+        Engine.handle(query_arrived{Ticket, RequestId, Profile, "i", "{}"});
+    for (const engine_command &Command : Commands)
+      if (auto *Wanted = std::get_if<claim_wanted>(&Command))
+        return Engine.handle(claim_decision{Wanted->Ticket, Wanted->RequestId,
+                                            claim_granted{ClaimVersion}});
+    return Commands;
   }
 
   std::vector<engine_command> answer(const send_attempt &Attempt) {
@@ -166,8 +177,8 @@
   attempt_id First = Later[0].Attempt - 2;
   for (attempt_id Attempt : {First, First + 1}) {
     std::string Shard = Attempt == First ? "0" : "1";
-    auto Commands =
-        F.Engine.handle(attempt_answered{Attempt, {"r", "s2", Shard, "body"}});
+    auto Commands = F.Engine.handle(
+        attempt_answered{Attempt, {RequestId, "s2", Shard, "body"}});
     cr_assert(delivers<answered>(Commands) == (Attempt != First));
   }
 }
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -1,5 +1,6 @@
 #include "masticproxy/src/Daemon/callers_thread.h"
 
+#include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/outcome_response.h"
 #include "masticproxy/src/Net/event_log.h"
@@ -18,6 +19,13 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr std::size_t MaxRequestIdBytes = 128;
 
+/// Layout of a UUID of version 7: milliseconds since 1970 in the leading
+/// bytes, then the version in the upper half of the next byte.
+constexpr std::size_t UuidTimeBytes = 6;
+constexpr unsigned BitsInByte = 8;
+constexpr std::uint8_t UuidVersion7 = 0x70;
+constexpr std::uint8_t LowNibble = 0x0f;
+
 constexpr std::string_view QueryPrefix = "/v1/indexes/";
 constexpr std::string_view QuerySuffix = "/query";
 
@@ -56,10 +64,11 @@
 } // namespace
 
 callers_thread::callers_thread(const node_settings &Settings,
-                               counter_registry &Counters, event_log &Events,
+                               const clock &Clock, counter_registry &Counters,
+                               event_log &Events,
                                const published<node_status> &Status)
-    : Settings(Settings), Counters(Counters), Events(Events), Status(Status),
-      Outcomes(RequestRingCapacity, [this] {
+    : Settings(Settings), Clock(Clock), Counters(Counters), Events(Events),
+      Status(Status), Outcomes(RequestRingCapacity, [this] {
         Loop.post([this] {
           Outcomes.drain([this](deliver_outcome O) { deliver(std::move(O)); });
         });
@@ -192,5 +201,13 @@
 
 std::string callers_thread::newRequestId() {
   thread_local boost::uuids::random_generator Generate;
-  return boost::uuids::to_string(Generate());
+  boost::uuids::uuid Id = Generate();
+  auto Milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Clock.wallTime());
+  auto Time = static_cast<std::uint64_t>(Milliseconds.count());
+  for (std::size_t I = 0; I < UuidTimeBytes; ++I)
+    Id.data[I] = static_cast<std::uint8_t>(
+        Time >> (BitsInByte * (UuidTimeBytes - 1 - I)));
+  Id.data[UuidTimeBytes] = UuidVersion7 | (Id.data[UuidTimeBytes] & LowNibble);
+  return boost::uuids::to_string(Id);
 }
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.h
@@ -15,6 +15,7 @@
 
 namespace masticproxy {
 
+class clock;
 class counter_registry;
 class event_log;
 struct node_settings;
@@ -22,8 +23,9 @@
 /// \brief Serves callers, the balancer and operators over HTTP.
 class callers_thread {
 public:
-  callers_thread(const node_settings &Settings, counter_registry &Counters,
-                 event_log &Events, const published<node_status> &Status);
+  callers_thread(const node_settings &Settings, const clock &Clock,
+                 counter_registry &Counters, event_log &Events,
+                 const published<node_status> &Status);
   ~callers_thread();
 
   /// Sets the ring that requests go to; before start().
@@ -55,6 +57,7 @@
   std::string newRequestId();
 
   const node_settings &Settings;
+  const clock &Clock;
   counter_registry &Counters;
   event_log &Events;
   const published<node_status> &Status;
--- a/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
@@ -1,6 +1,8 @@
 #ifndef MASTICPROXY_DAEMON_DAEMON_RINGS_H
 #define MASTICPROXY_DAEMON_DAEMON_RINGS_H
 
+#include "masticproxy/src/Claims/claim_decision.h"
+#include "masticproxy/src/Claims/claim_wanted.h"
 #include "masticproxy/src/Cluster/member_info.h"
 #include "masticproxy/src/Cluster/peer_message.h"
 #include "masticproxy/src/Net/ring_channel.h"
@@ -36,6 +38,8 @@
 using upstream_command = std::variant<send_attempt, cancel_attempt>;
 /// From the upstreams duty to the engine.
 using upstream_event = std::variant<attempt_answered, attempt_failed>;
+/// From the engine to the claims duty.
+using claim_request = std::variant<claim_wanted, claim_unused>;
 /// From the platform duty to control.
 using platform_event = std::variant<configuration_push, vms_listed>;
 
@@ -44,6 +48,8 @@
 using update_ring = ring_channel<engine_update>;
 using upstream_command_ring = ring_channel<upstream_command>;
 using upstream_event_ring = ring_channel<upstream_event>;
+using claim_request_ring = ring_channel<claim_request>;
+using claim_decision_ring = ring_channel<claim_decision>;
 using platform_event_ring = ring_channel<platform_event>;
 using peer_inbox_ring = ring_channel<peer_message>;
 using peer_outbox_ring = ring_channel<send_to_peer>;
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -20,6 +20,7 @@
     return "unknown_profile";
   }
   std::string_view operator()(const unknown_index &) { return "unknown_index"; }
+  std::string_view operator()(const bad_request &) { return "bad_request"; }
 };
 
 } // namespace
@@ -46,21 +47,30 @@
                          });
                        });
                      }),
-      Updates(ControlRingCapacity, [this] {
+      Updates(ControlRingCapacity,
+              [this] {
+                Loop.post([this] {
+                  Updates.drain([this](engine_update E) {
+                    if (auto *Changed = std::get_if<catalogue_changed>(&E))
+                      handle(std::move(*Changed));
+                    else
+                      Engine.setSharers(std::get<sharers_changed>(E).Count);
+                  });
+                });
+              }),
+      ClaimDecisions(RequestRingCapacity, [this] {
         Loop.post([this] {
-          Updates.drain([this](engine_update E) {
-            if (auto *Changed = std::get_if<catalogue_changed>(&E))
-              handle(std::move(*Changed));
-            else
-              Engine.setSharers(std::get<sharers_changed>(E).Count);
-          });
+          ClaimDecisions.drain(
+              [this](claim_decision E) { handle(std::move(E)); });
         });
       }) {}
 
 void engine_thread::connect(upstream_command_ring &NewUpstreams,
-                            outcome_ring &NewCallers) {
+                            outcome_ring &NewCallers,
+                            claim_request_ring &NewClaims) {
   Upstreams = &NewUpstreams;
   Callers = &NewCallers;
+  Claims = &NewClaims;
 }
 
 void engine_thread::leave() {
@@ -92,7 +102,11 @@
 void engine_thread::carryOut(const cancel_attempt &Command) {
   Counters.get("cancellations_total").add();
   // A lost cancellation costs work, not truth: the deadline ends the attempt.
-  Upstreams->push(Command);
+  // Assigned, not constructed: GCC 12 takes the other alternative's members for
+  // read uninitialized in the destructor.
+  upstream_command Wrapped;
+  Wrapped = Command;
+  Upstreams->push(Wrapped);
 }
 
 void engine_thread::carryOut(const deliver_outcome &Command) {
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -21,10 +21,12 @@
                 counter_registry &Counters, event_log &Events);
 
   /// Sets the rings that commands go to; before start().
-  void connect(upstream_command_ring &Upstreams, outcome_ring &Callers);
+  void connect(upstream_command_ring &Upstreams, outcome_ring &Callers,
+               claim_request_ring &Claims);
 
   query_ring &queries() { return Queries; }
   upstream_event_ring &upstreamEvents() { return UpstreamEvents; }
+  claim_decision_ring &claimDecisions() { return ClaimDecisions; }
   update_ring &updates() { return Updates; }
 
   void start() { Loop.start(); }
@@ -41,6 +43,8 @@
   void carryOut(const send_attempt &Command);
   void carryOut(const cancel_attempt &Command);
   void carryOut(const deliver_outcome &Command);
+  void carryOut(const claim_wanted &Command);
+  void carryOut(const claim_unused &Command);
   void schedule();
 
   loop_thread Loop;
@@ -52,8 +56,10 @@
   query_ring Queries;
   upstream_event_ring UpstreamEvents;
   update_ring Updates;
+  claim_decision_ring ClaimDecisions;
   upstream_command_ring *Upstreams = nullptr;
   outcome_ring *Callers = nullptr;
+  claim_request_ring *Claims = nullptr;
   std::atomic<std::size_t> Running{0};
 };
 
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
@@ -0,0 +1,22 @@
+#include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/engine_thread.h"
+#include "masticproxy/src/Net/event_log.h"
+
+using namespace masticproxy;
+
+void engine_thread::carryOut(const claim_wanted &Command) {
+  Events.add("claim_wanted", Command.RequestId, "");
+  if (Claims->push(Command))
+    return;
+  Counters.get("claim_ring_full_total").add();
+  Loop.post([this, Command] {
+    handle(
+        claim_decision{Command.Ticket, Command.RequestId, claim_unconfirmed{}});
+  });
+}
+
+void engine_thread::carryOut(const claim_unused &Command) {
+  // A claim that stays is swept once its request id is too old.
+  if (!Claims->push(Command))
+    Counters.get("claim_ring_full_total").add();
+}
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/callers_thread.h"
+#include "masticproxy/src/Daemon/claims_thread.h"
 #include "masticproxy/src/Daemon/control_actor.h"
 #include "masticproxy/src/Daemon/control_duty.h"
 #include "masticproxy/src/Daemon/daemon_log.h"
@@ -40,9 +41,11 @@
                  PlatformStop.get_token()),
         Engine(Clock, {Settings.Queries, 1, Settings.DataCentre}, Counters,
                Events),
-        Upstreams(Clock, Counters), Callers(Settings, Counters, Events, Status),
+        Upstreams(Clock, Counters),
+        Callers(Settings, Clock, Counters, Events, Status),
         Peers(Settings.PeersAddress, Counters),
         PlatformDuty(Platform, Settings.PlatformWatchWait, Counters),
+        Claims(Platform, Clock, processName(), {}, Counters),
         FromPlatform(ControlRingCapacity, [this] { wakeControl(); }),
         FromPeers(ControlRingCapacity, [this] { wakeControl(); }),
         Links{Settings,
@@ -57,13 +60,19 @@
               Status,
               [this] { return PlatformDuty.reachable(); }},
         Duty(Links), Actors(ActorConfig) {
-    Engine.connect(Upstreams.commands(), Callers.outcomes());
+    Engine.connect(Upstreams.commands(), Callers.outcomes(), Claims.requests());
+    Claims.connect(Engine.claimDecisions());
     Upstreams.connect(Engine.upstreamEvents());
     Callers.connect(Engine.queries());
     Peers.connect(FromPeers);
     PlatformDuty.connect(FromPlatform);
   }
 
+  /// Names this start of the VM.
+  std::string processName() const {
+    return Settings.Name + "/" + std::to_string(Clock.wallTime().count());
+  }
+
   void wakeControl() { caf::anon_send(Control, wake_atom_v); }
 
   node_settings Settings;
@@ -79,6 +88,7 @@
   callers_thread Callers;
   peers_thread Peers;
   platform_thread PlatformDuty;
+  claims_thread Claims;
   platform_event_ring FromPlatform;
   peer_inbox_ring FromPeers;
   control_links Links;
@@ -94,6 +104,7 @@
 entry_daemon::~entry_daemon() {
   Parts->PlatformStop.request_stop();
   Parts->PlatformDuty.stop();
+  Parts->Claims.stop();
   Parts->Peers.stop();
   Parts->Callers.stop();
   Parts->Engine.stop();
@@ -111,6 +122,7 @@
   Parts->Callers.start();
   Parts->Peers.start();
   Parts->PlatformDuty.start();
+  Parts->Claims.start();
   logInfo("event=started data_centre=" + Parts->Settings.DataCentre +
           " callers=" + Parts->Settings.CallersAddress +
           " peers=" + Parts->Settings.PeersAddress);
--- a/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned StatusUnavailable = 503;
@@ -83,6 +84,11 @@
                          "no such index is in force; the request was not run",
                          RequestId);
   }
+
+  http_response operator()(const bad_request &Outcome) const {
+    return errorResponse(StatusBadRequest, "bad_request", Outcome.Reason,
+                         RequestId);
+  }
 };
 
 } // namespace
