Let the platform watch rest after a change that is no configuration

Cause: the watch has no filter by kind, so every claim object ended the watch of every VM, and each VM then listed the VMs and watched anew.

Change: a pause of 200 ms after a change without configuration. Configuration itself is taken over without a pause, or at most 200 ms late behind a claim.

Conclusion: reads for watches are bounded to ten a second and VM, whatever the rate of claims.

--- a/packages/daemon/masticproxy/src/Daemon/platform_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/platform_thread.cpp
@@ -14,6 +14,10 @@
 constexpr std::chrono::milliseconds LongestPause{5000};
 constexpr unsigned MaxDoublings = 10;
 
+/// Pause after a change that was no configuration. Every claim object ends the
+/// watch, and each watch counts against the platform's read rate.
+constexpr std::chrono::milliseconds QuietPause{200};
+
 std::vector<member_info> toMembers(const std::vector<platform_vm> &Vms) {
   std::vector<member_info> Members;
   for (const platform_vm &Vm : Vms) {
@@ -86,7 +90,10 @@
     return false;
   }
   Revision = std::max(Revision, Changes->Revision);
-  push(toPush(*Changes));
+  configuration_push Push = toPush(*Changes);
+  push(Push);
+  if (Push.Records.empty())
+    waitFor(QuietPause);
   return true;
 }
 
@@ -105,9 +112,12 @@
   // the platform comes back.
   std::uniform_int_distribution<std::int64_t> Spread(Longest.count() / 2,
                                                      Longest.count());
+  waitFor(std::chrono::milliseconds(Spread(Random)));
+}
+
+void platform_thread::waitFor(std::chrono::milliseconds Span) {
   std::unique_lock<std::mutex> Lock(Mutex);
-  Wake.wait_for(Lock, std::chrono::milliseconds(Spread(Random)),
-                [this] { return Stopping; });
+  Wake.wait_for(Lock, Span, [this] { return Stopping; });
 }
 
 void platform_thread::push(const platform_event &Event) {
--- a/packages/daemon/masticproxy/src/Daemon/platform_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/platform_thread.h
@@ -37,6 +37,7 @@
   bool followOnce();
   void listVms();
   void pause();
+  void waitFor(std::chrono::milliseconds Span);
   void push(const platform_event &Event);
 
   platform_api &Platform;
