Keep a query that kills upstreams from killing many

Cause: a query that kills each upstream which runs it went to all shards at once, was retried on the next replicas, and ran again each time it was sent.

Ruled out: a closed connection as evidence (an upstream at its limit of connections closes them too; one that died takes no new one, which is checked, after 2 ms, as a dying process may close connections before it stops to listen). Deaths on two upstreams side by side as proof: a fan-out puts innocent queries on both.

Change: module Poison. A query in flight at a death is a suspect and runs alone, one attempt at a time, until the shard of the death answers; a second death begun after the first was known condemns it for five minutes (HTTP 422, `condemned`, with may_have_run). Peers are told of each death. With poison.probe_first, the default, a query not seen before runs on one shard alone until that one answers.

--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -35,6 +35,8 @@
      "How long requests are taken after SIGTERM, until the balancer knows."},
     {"leave.finish_within", value_kind::Duration, "\"10s\"", 0, 600000, "",
      "How long running requests may take to finish after that."},
+    {"poison.probe_first", value_kind::Boolean, "true", 0, 0, "",
+     "Whether a query not seen before runs on one shard alone at first."},
     {"log.level", value_kind::Choice, "\"info\"", 0, 0, "debug|info|warn|error",
      "Least level of a line that is written."},
     {"timeline.events", value_kind::Integer, "20000", 100, 10000000, "",
--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -49,6 +49,7 @@
       static_cast<std::size_t>(Values.integer("limits.caller_connections"));
   S.BalancerLag = Values.span("leave.balancer_lag");
   S.FinishWithin = Values.span("leave.finish_within");
+  S.ProbeFirst = Values.flag("poison.probe_first");
   S.LogLevel = Values.text("log.level");
   S.TimelineEvents =
       static_cast<std::size_t>(Values.integer("timeline.events"));
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -26,6 +26,7 @@
   std::size_t CallerConnections;
   std::chrono::milliseconds BalancerLag;
   std::chrono::milliseconds FinishWithin;
+  bool ProbeFirst;
   std::string LogLevel;
   std::size_t TimelineEvents;
 };
--- a/packages/core/masticproxy/src/Cluster/peer_message.h
+++ b/packages/core/masticproxy/src/Cluster/peer_message.h
@@ -4,14 +4,15 @@
 #include "masticproxy/src/Cluster/configuration_pull.h"
 #include "masticproxy/src/Cluster/configuration_push.h"
 #include "masticproxy/src/Cluster/heartbeat.h"
+#include "masticproxy/src/Poison/poison_notice.h"
 
 #include <variant>
 
 namespace masticproxy {
 
 /// \brief All that one VM says to another.
-using peer_message =
-    std::variant<heartbeat, configuration_push, configuration_pull>;
+using peer_message = std::variant<heartbeat, configuration_push,
+                                  configuration_pull, poison_notice>;
 
 } // namespace masticproxy
 
--- /dev/null
+++ b/packages/core/masticproxy/src/Poison/query_fingerprint.h
@@ -0,0 +1,17 @@
+#ifndef MASTICPROXY_POISON_QUERY_FINGERPRINT_H
+#define MASTICPROXY_POISON_QUERY_FINGERPRINT_H
+
+#include <cstdint>
+#include <string_view>
+
+namespace masticproxy {
+
+/// Names the content of a query, whatever its request id.
+using query_fingerprint = std::uint64_t;
+
+/// \returns the fingerprint of \p Body asked of \p Index.
+query_fingerprint fingerprintOf(std::string_view Index, std::string_view Body);
+
+} // namespace masticproxy
+
+#endif
--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -3,6 +3,7 @@
 
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Claims/claim_wanted.h"
+#include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/query_outcome.h"
 
@@ -39,7 +40,7 @@
 /// \brief All that the query engine asks its surroundings to do.
 using engine_command =
     std::variant<send_attempt, cancel_attempt, deliver_outcome, claim_wanted,
-                 claim_unused>;
+                 claim_unused, poison_notice>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_QUERY_ENGINE_EVENT_H
 
 #include "masticproxy/src/Claims/claim_decision.h"
+#include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Query/partial_answer.h"
 
 #include <cstdint>
@@ -52,6 +53,8 @@
 struct attempt_failed {
   attempt_id Attempt = 0;
   attempt_failure Failure = attempt_failure::Unknown;
+  /// The upstream died: it closed the connection and takes no other.
+  bool UpstreamDied = false;
 };
 
 /// \brief New configuration is in force.
@@ -68,7 +71,8 @@
 /// \brief All that the query engine reacts to.
 using engine_event =
     std::variant<query_arrived, attempt_answered, attempt_failed,
-                 catalogue_changed, timer_fired, leave_started, claim_decision>;
+                 catalogue_changed, timer_fired, leave_started, claim_decision,
+                 poison_notice>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -22,7 +22,8 @@
 
 query_engine::query_engine(const clock &Clock, engine_limits Limits)
     : Clock(Clock), Limits(std::move(Limits)),
-      Catalogue(std::make_shared<const query_catalogue>()) {
+      Catalogue(std::make_shared<const query_catalogue>()),
+      Poison(Clock, this->Limits.ProbeFirst) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
   Upstreams.setSharers(this->Limits.Sharers);
 }
@@ -50,6 +51,8 @@
   const index_map *Index = Catalogue->findIndex(Event.Index);
   if (!Index)
     return refuse(Event, unknown_index{});
+  if (Poison.condemned(fingerprintOf(Event.Index, Event.Body)))
+    return refuse(Event, condemned{});
   if (!Profile->MayRepeat)
     if (std::optional<query_outcome> Refusal = refusalOfId(Event.RequestId))
       return refuse(Event, std::move(*Refusal));
@@ -75,6 +78,7 @@
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
+  Poison.answered(Event.Attempt);
   if (query_run *Run = findRun(*Record)) {
     Run->attemptAnswered(Record->Shard, Event.Attempt, std::move(Event.Result));
     startShard(Record->Ticket, *Run, Record->Shard);
@@ -87,6 +91,7 @@
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
+  noteEnd(Event);
   time_point Now = Clock.now();
   if (Event.Failure == attempt_failure::Refused)
     Upstreams.avoid(Record->Upstream, Now + RefusalPause);
@@ -100,7 +105,10 @@
     Run->attemptFailed(Record->Shard, Event.Attempt, Event.Failure);
     if (Event.Failure == attempt_failure::SnapshotGone)
       Run->snapshotGone();
-    if (!restartIfDue(Record->Ticket, *Run))
+    // A suspect takes the shards that wait first.
+    if (Event.UpstreamDied)
+      Waiting.emplace_back(Record->Ticket, Record->Shard);
+    else if (!restartIfDue(Record->Ticket, *Run))
       startShard(Record->Ticket, *Run, Record->Shard);
     finishIfOver(Record->Ticket);
   }
@@ -123,8 +131,8 @@
 void query_engine::on(leave_started) { Leaving = true; }
 
 void query_engine::startShards(query_ticket Ticket, query_run &Run) {
-  for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
-    startShard(Ticket, Run, I);
+  for (std::size_t Shard : shardOrder(Run))
+    startShard(Ticket, Run, Shard);
 }
 
 void query_engine::startShard(query_ticket Ticket, query_run &Run,
@@ -140,7 +148,12 @@
     Waiting.emplace_back(Ticket, Shard);
     return;
   }
+  if (!Poison.mayStart(Run.fingerprint(), Chosen->Address)) {
+    Waiting.emplace_back(Ticket, Shard);
+    return;
+  }
   attempt_id Attempt = NextAttempt++;
+  Poison.started(Attempt, Run.fingerprint(), Chosen->Address, Target.Id);
   Upstreams.attemptStarted(Chosen->Address);
   Run.attemptStarted(Shard, Attempt, Chosen->Address);
   Attempts.emplace(Attempt, attempt_record{Ticket, Shard, Run.generation(),
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -3,6 +3,7 @@
 
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Claims/claim_timing.h"
+#include "masticproxy/src/Poison/poison_guard.h"
 #include "masticproxy/src/Query/engine_command.h"
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/query_run.h"
@@ -29,6 +30,8 @@
   std::string DataCentre;
   /// How long request ids that may not run twice can be used.
   claim_timing Claims = {};
+  /// Whether a query not seen before runs on one shard alone at first.
+  bool ProbeFirst = false;
 };
 
 /// \brief Decides all that happens to the requests of one VM.
@@ -69,6 +72,7 @@
   void on(timer_fired Event);
   void on(leave_started Event);
   void on(claim_decision Event);
+  void on(const poison_notice &Event);
 
   void startShards(query_ticket Ticket, query_run &Run);
   void startShard(query_ticket Ticket, query_run &Run, std::size_t Shard);
@@ -85,12 +89,17 @@
   std::optional<query_outcome> refusalOfId(const std::string &RequestId) const;
   void awaitClaim(query_ticket Ticket, query_run &Run);
   void releaseClaim(const query_run &Run, const query_outcome &Outcome);
+  void noteEnd(const attempt_failed &Event);
+  void endCondemned(query_fingerprint Fingerprint);
+  /// \returns the shards in the order in which a run asks them.
+  std::vector<std::size_t> shardOrder(const query_run &Run) const;
   void refuse(const query_arrived &Request, query_outcome Outcome);
 
   const clock &Clock;
   engine_limits Limits;
   std::shared_ptr<const query_catalogue> Catalogue;
   upstream_table Upstreams;
+  poison_guard Poison;
   run_map Runs;
   std::unordered_map<attempt_id, attempt_record> Attempts;
   std::deque<std::pair<query_ticket, std::size_t>> Waiting;
--- a/packages/core/masticproxy/src/Query/query_outcome.h
+++ b/packages/core/masticproxy/src/Query/query_outcome.h
@@ -38,6 +38,12 @@
   std::string Reason;
 };
 
+/// \brief Upstreams died while they ran the same query: it is not run again.
+struct condemned {
+  /// This very request may have run; otherwise it was not run.
+  bool MayHaveRun = false;
+};
+
 /// \brief No profile of that name is in force.
 struct unknown_profile {};
 
@@ -45,8 +51,9 @@
 struct unknown_index {};
 
 /// \brief What becomes of a request; exactly one for each.
-using query_outcome = std::variant<answered, not_run, outcome_unknown, too_late,
-                                   unknown_profile, unknown_index, bad_request>;
+using query_outcome =
+    std::variant<answered, not_run, outcome_unknown, too_late, unknown_profile,
+                 unknown_index, bad_request, condemned>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -10,6 +10,7 @@
                      time_point NewDeadline)
     : Request(std::move(NewRequest)),
       Body(std::make_shared<const std::string>(std::move(Request.Body))),
+      Fingerprint(fingerprintOf(Request.Index, *Body)),
       Profile(std::move(NewProfile)), Snapshot(std::move(NewSnapshot)),
       Deadline(NewDeadline), Partial(Request.RequestId, Snapshot),
       Shards(Snapshot->Shards.size()) {}
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_QUERY_QUERY_RUN_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Poison/query_fingerprint.h"
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/index_map.h"
 #include "masticproxy/src/Query/partial_answer.h"
@@ -33,6 +34,7 @@
   const std::string &requestId() const { return Request.RequestId; }
   const std::string &indexName() const { return Request.Index; }
   const std::shared_ptr<const std::string> &body() const { return Body; }
+  query_fingerprint fingerprint() const { return Fingerprint; }
   const profile &rules() const { return Profile; }
   time_point deadline() const { return Deadline; }
 
@@ -111,6 +113,7 @@
 
   query_arrived Request;
   std::shared_ptr<const std::string> Body;
+  query_fingerprint Fingerprint;
   profile Profile;
   std::shared_ptr<const index_snapshot> Snapshot;
   time_point Deadline;
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -39,6 +39,8 @@
   Links.FromPeers.drain([this](peer_message Message) {
     std::visit([this](auto M) { on(std::move(M)); }, std::move(Message));
   });
+  Links.FromEngine.drain(
+      [this](poison_notice Notice) { sendToPeers(std::move(Notice)); });
   publishSharers();
   publishStatus();
 }
@@ -82,6 +84,12 @@
                           Table.recordsAfter(Pull.AfterRevision)});
 }
 
+void control_duty::on(const poison_notice &Notice) {
+  // A full ring drops it: the next death makes the next notice.
+  if (!Links.ToEngine.push(Notice))
+    Links.Counters.get("notice_ring_full_total").add();
+}
+
 bool control_duty::takeOver(const configuration_record &Record) {
   if (!Table.apply(Record))
     return false;
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.h
@@ -37,6 +37,7 @@
   void on(const vms_listed &Listed);
   void on(const heartbeat &Heartbeat);
   void on(const configuration_pull &Pull);
+  void on(const poison_notice &Notice);
   bool takeOver(const configuration_record &Record);
   void publishCatalogue();
   void publishSharers();
--- a/packages/daemon/masticproxy/src/Daemon/control_links.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_links.h
@@ -24,6 +24,7 @@
   std::uint64_t Incarnation;
   platform_event_ring &FromPlatform;
   peer_inbox_ring &FromPeers;
+  notice_ring &FromEngine;
   update_ring &ToEngine;
   peer_outbox_ring &ToPeers;
   published<node_status> &Status;
--- a/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
@@ -33,7 +33,8 @@
 };
 
 /// From the control duty to the engine.
-using engine_update = std::variant<catalogue_changed, sharers_changed>;
+using engine_update =
+    std::variant<catalogue_changed, sharers_changed, poison_notice>;
 /// From the engine to the upstreams duty.
 using upstream_command = std::variant<send_attempt, cancel_attempt>;
 /// From the upstreams duty to the engine.
@@ -51,6 +52,7 @@
 using claim_request_ring = ring_channel<claim_request>;
 using claim_decision_ring = ring_channel<claim_decision>;
 using platform_event_ring = ring_channel<platform_event>;
+using notice_ring = ring_channel<poison_notice>;
 using peer_inbox_ring = ring_channel<peer_message>;
 using peer_outbox_ring = ring_channel<send_to_peer>;
 
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -20,6 +20,7 @@
     return "unknown_profile";
   }
   std::string_view operator()(const unknown_index &) { return "unknown_index"; }
+  std::string_view operator()(const condemned &) { return "condemned"; }
   std::string_view operator()(const bad_request &) { return "bad_request"; }
 };
 
@@ -50,12 +51,8 @@
       Updates(ControlRingCapacity,
               [this] {
                 Loop.post([this] {
-                  Updates.drain([this](engine_update E) {
-                    if (auto *Changed = std::get_if<catalogue_changed>(&E))
-                      handle(std::move(*Changed));
-                    else
-                      Engine.setSharers(std::get<sharers_changed>(E).Count);
-                  });
+                  Updates.drain(
+                      [this](engine_update E) { take(std::move(E)); });
                 });
               }),
       ClaimDecisions(RequestRingCapacity, [this] {
@@ -67,10 +64,12 @@
 
 void engine_thread::connect(upstream_command_ring &NewUpstreams,
                             outcome_ring &NewCallers,
-                            claim_request_ring &NewClaims) {
+                            claim_request_ring &NewClaims,
+                            notice_ring &NewControl) {
   Upstreams = &NewUpstreams;
   Callers = &NewCallers;
   Claims = &NewClaims;
+  Control = &NewControl;
 }
 
 void engine_thread::leave() {
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -22,7 +22,7 @@
 
   /// Sets the rings that commands go to; before start().
   void connect(upstream_command_ring &Upstreams, outcome_ring &Callers,
-               claim_request_ring &Claims);
+               claim_request_ring &Claims, notice_ring &Control);
 
   query_ring &queries() { return Queries; }
   upstream_event_ring &upstreamEvents() { return UpstreamEvents; }
@@ -45,6 +45,8 @@
   void carryOut(const deliver_outcome &Command);
   void carryOut(const claim_wanted &Command);
   void carryOut(const claim_unused &Command);
+  void carryOut(const poison_notice &Command);
+  void take(engine_update Update);
   void schedule();
 
   loop_thread Loop;
@@ -60,6 +62,7 @@
   upstream_command_ring *Upstreams = nullptr;
   outcome_ring *Callers = nullptr;
   claim_request_ring *Claims = nullptr;
+  notice_ring *Control = nullptr;
   std::atomic<std::size_t> Running{0};
 };
 
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
@@ -20,3 +20,22 @@
   if (!Claims->push(Command))
     Counters.get("claim_ring_full_total").add();
 }
+
+void engine_thread::carryOut(const poison_notice &Command) {
+  std::string_view Held = Command.Rounds > 1 ? "condemned" : "suspected";
+  Counters.get("poison_total", "verdict=\"" + std::string(Held) + "\"").add();
+  Events.add("poison_" + std::string(Held), "",
+             "query " + std::to_string(Command.Fingerprint) + " at shard " +
+                 Command.Shard);
+  // A lost notice costs the other VMs one more death each at most.
+  if (!Control->push(Command))
+    Counters.get("notice_ring_full_total").add();
+}
+
+void engine_thread::take(engine_update Update) {
+  if (auto *Sharers = std::get_if<sharers_changed>(&Update))
+    return Engine.setSharers(Sharers->Count);
+  if (auto *Notice = std::get_if<poison_notice>(&Update))
+    return handle(std::move(*Notice));
+  handle(std::get<catalogue_changed>(std::move(Update)));
+}
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -39,8 +39,10 @@
         Events(Timeline, Settings.TimelineEvents),
         Platform(Settings.PlatformAddress, Settings.PlatformCallTimeout,
                  PlatformStop.get_token()),
-        Engine(Clock, {Settings.Queries, 1, Settings.DataCentre}, Counters,
-               Events),
+        Engine(
+            Clock,
+            {Settings.Queries, 1, Settings.DataCentre, {}, Settings.ProbeFirst},
+            Counters, Events),
         Upstreams(Clock, Counters),
         Callers(Settings, Clock, Counters, Events, Status),
         Peers(Settings.PeersAddress, Counters),
@@ -48,6 +50,7 @@
         Claims(Platform, Clock, processName(), {}, Counters),
         FromPlatform(ControlRingCapacity, [this] { wakeControl(); }),
         FromPeers(ControlRingCapacity, [this] { wakeControl(); }),
+        FromEngine(ControlRingCapacity, [this] { wakeControl(); }),
         Links{Settings,
               Clock,
               Counters,
@@ -55,12 +58,14 @@
               static_cast<std::uint64_t>(Clock.wallTime().count()),
               FromPlatform,
               FromPeers,
+              FromEngine,
               Engine.updates(),
               Peers.outbox(),
               Status,
               [this] { return PlatformDuty.reachable(); }},
         Duty(Links), Actors(ActorConfig) {
-    Engine.connect(Upstreams.commands(), Callers.outcomes(), Claims.requests());
+    Engine.connect(Upstreams.commands(), Callers.outcomes(), Claims.requests(),
+                   FromEngine);
     Claims.connect(Engine.claimDecisions());
     Upstreams.connect(Engine.upstreamEvents());
     Callers.connect(Engine.queries());
@@ -91,6 +96,7 @@
   claims_thread Claims;
   platform_event_ring FromPlatform;
   peer_inbox_ring FromPeers;
+  notice_ring FromEngine;
   control_links Links;
   control_duty Duty;
   control_system_config ActorConfig;
--- a/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
@@ -9,6 +9,7 @@
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusUnprocessable = 422;
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
@@ -85,6 +86,16 @@
                          RequestId);
   }
 
+  http_response operator()(const condemned &Outcome) const {
+    return jsonResponse(
+        StatusUnprocessable,
+        {{"code", "condemned"},
+         {"message", "upstreams died while they ran this query; it is not run "
+                     "again for some minutes"},
+         {"request_id", RequestId},
+         {"may_have_run", Outcome.MayHaveRun}});
+  }
+
   http_response operator()(const bad_request &Outcome) const {
     return errorResponse(StatusBadRequest, "bad_request", Outcome.Reason,
                          RequestId);
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -1,6 +1,7 @@
 #include "masticproxy/src/Daemon/upstreams_thread.h"
 
 #include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/upstream_check.h"
 #include "masticproxy/src/Daemon/upstream_protocol.h"
 
 #include <algorithm>
@@ -79,10 +80,17 @@
   if (auto *Response = std::get_if<http_response>(&Result))
     return std::visit([this](auto E) { report(std::move(E)); },
                       fromUpstreamResponse(Attempt, std::move(*Response)));
-  bool MayHaveRun = std::get<exchange_error>(Result).MayHaveRun;
+  const auto &Error = std::get<exchange_error>(Result);
   Counters.get("upstream_connection_errors_total").add();
-  report(attempt_failed{Attempt, MayHaveRun ? attempt_failure::Unknown
-                                            : attempt_failure::NotSent});
+  if (!Error.MayHaveRun)
+    return report(attempt_failed{Attempt, attempt_failure::NotSent});
+  if (!Error.Closed)
+    return report(attempt_failed{Attempt, attempt_failure::Unknown});
+  // An upstream at its limit of connections closes them too; one that died
+  // takes no connection.
+  checkUpstream(Loop.context(), Ended.Upstream, [this, Attempt](bool Alive) {
+    report(attempt_failed{Attempt, attempt_failure::Unknown, !Alive});
+  });
 }
 
 void upstreams_thread::report(const upstream_event &Event) {
--- a/packages/net/masticproxy/src/Net/http_connection.cpp
+++ b/packages/net/masticproxy/src/Net/http_connection.cpp
@@ -77,7 +77,12 @@
 
   void fail(bool MayHaveRun, const boost::system::error_code &Error) {
     close();
-    finish(exchange_error{MayHaveRun, Error.message()});
+    bool Closed = Error == boost::asio::error::eof ||
+                  Error == boost::asio::error::connection_reset ||
+                  Error == boost::asio::error::broken_pipe ||
+                  Error == http::error::end_of_stream ||
+                  Error == http::error::partial_message;
+    finish(exchange_error{MayHaveRun, Error.message(), Closed});
   }
 
   void finish(exchange_result Result) {
--- a/packages/net/masticproxy/src/Net/http_connection.h
+++ b/packages/net/masticproxy/src/Net/http_connection.h
@@ -19,6 +19,8 @@
   /// False only where no byte of the request can have left.
   bool MayHaveRun = true;
   std::string Text;
+  /// The other end closed the connection.
+  bool Closed = false;
 };
 
 /// The response, or why there is none.
--- a/packages/wire/masticproxy/src/Wire/peer_codec.cpp
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.cpp
@@ -68,6 +68,13 @@
                                                 Out.CreateString(M.ReplyTo));
     return {wire::PeerBody::ConfigurationPull, Packed.Union()};
   }
+
+  std::pair<wire::PeerBody, Offset<void>> operator()(const poison_notice &M) {
+    auto Packed = wire::CreatePoisonNotice(
+        Out, M.Fingerprint, M.Rounds, Out.CreateString(M.Shard),
+        static_cast<std::uint64_t>(M.Age.count()));
+    return {wire::PeerBody::PoisonNotice, Packed.Union()};
+  }
 };
 
 std::variant<peer_message, frame_error> unpack(const wire::Heartbeat &M) {
@@ -103,6 +110,16 @@
       configuration_pull{M.after_revision(), text(M.reply_to())});
 }
 
+std::variant<peer_message, frame_error> unpack(const wire::PoisonNotice &M) {
+  constexpr std::uint64_t LongestAge =
+      std::chrono::milliseconds(std::chrono::hours(24)).count();
+  if (M.age_ms() > LongestAge)
+    return frame_error::Malformed;
+  return peer_message(poison_notice{M.fingerprint(), M.rounds(),
+                                    text(M.shard()),
+                                    std::chrono::milliseconds(M.age_ms())});
+}
+
 } // namespace
 
 std::string masticproxy::encodePeerMessage(const peer_message &Message) {
@@ -127,6 +144,8 @@
     return unpack(*Envelope->body_as_ConfigurationPush());
   case wire::PeerBody::ConfigurationPull:
     return unpack(*Envelope->body_as_ConfigurationPull());
+  case wire::PeerBody::PoisonNotice:
+    return unpack(*Envelope->body_as_PoisonNotice());
   case wire::PeerBody::NONE:
     break;
   }
--- a/packages/wire/tests/frame_test.cpp
+++ b/packages/wire/tests/frame_test.cpp
@@ -33,7 +33,7 @@
 
 peer_message anyMessage() {
   int Count = *rc::gen::inRange(0, 5);
-  switch (*rc::gen::inRange(0, 3)) {
+  switch (*rc::gen::inRange(0, 4)) {
   case 0: {
     heartbeat Message;
     Message.Sender = anyMember();
@@ -50,6 +50,12 @@
       Message.Records.push_back(anyRecord());
     return Message;
   }
+  case 2:
+    return poison_notice{
+        *rc::gen::arbitrary<std::uint64_t>(),
+        *rc::gen::arbitrary<std::uint32_t>(),
+        *rc::gen::arbitrary<std::string>(),
+        std::chrono::milliseconds(*rc::gen::inRange(0, 1000000))};
   default:
     return configuration_pull{*rc::gen::arbitrary<std::uint64_t>(),
                               *rc::gen::arbitrary<std::string>()};
