Let the scripts notice a platform of somebody else at their address

Cause: a run of process_demo failed at its last step ("kill: No such process"). Its profile had version 5 in place of 3 and its time line held another run's request: a second demo was running at the same ports. This run's platform had ended for the port in use, and the other's answered in its place.

Change: the scripts check that the process that they started is the one that still runs once its address answers. The platform is first, so that two runs at the same ports can't get further.

Before: with another platform at the address the demo went on with it. After: "platform has ended; is 127.0.0.1:25000 in use?", exit code 1.

--- a/examples/run_deployment.sh
+++ b/examples/run_deployment.sh
@@ -22,7 +22,7 @@
 
 start_platform() {
   start platform "$BIN/platform_stub" "$PLATFORM"
-  wait_for "the platform does not answer" answers "$PLATFORM" /stub/counts
+  wait_for_own platform "$PLATFORM" /stub/counts
   local ROWS=() I
   for ((I = 0; I < VM_COUNT; ++I)); do
     ROWS+=("{\"name\":\"vm-$I\",\"data_centre\":\"$(place_of "$I")\",\"peer_address\":\"$(peers_of "$I")\",\"leaving\":false}")
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -59,7 +59,7 @@
 
 step "1. The platform: keeps profiles and index maps, and lists the VMs"
 start platform "$BIN/platform_stub" "$PLATFORM"
-wait_for "the platform does not answer" answers "$PLATFORM" /stub/counts
+wait_for_own platform "$PLATFORM" /stub/counts
 list_vms
 say "a stand-in of the platform answers at $PLATFORM"
 
--- a/tools/measure_path.sh
+++ b/tools/measure_path.sh
@@ -26,7 +26,7 @@
 }
 
 start platform "$BIN/platform_stub" "$PLATFORM"
-wait_for "the platform does not answer" answers "$PLATFORM" /stub/counts
+wait_for_own platform "$PLATFORM" /stub/counts
 UPSTREAMS=("$BIN/upstream_stub" --first-port "$UPSTREAM_PORT" --shards "$SHARDS"
   --replicas 2 --service-us 1000 --slots 6 --connections 230 --setup-ms 1)
 start upstreams "${UPSTREAMS[@]}"
--- a/tools/processes.sh
+++ b/tools/processes.sh
@@ -46,6 +46,14 @@
   fail "$WHAT"
 }
 
+# wait_for_own NAME ADDRESS PATH: until the process NAME answers. Another one may
+# hold the address; then ours has ended, a moment after its start.
+wait_for_own() {
+  wait_for "$1 does not answer" answers "$2" "$3"
+  sleep 0.3
+  kill -0 "${PIDS[$1]}" 2>/dev/null || fail "$1 has ended; is $2 in use?"
+}
+
 # answers ADDRESS PATH: whether a GET is answered with success.
 answers() { curl -fsS --max-time 2 "http://$1$2"; }
 
