--- a/packages/testing/tests/bad_input_test.cpp
+++ b/packages/testing/tests/bad_input_test.cpp
@@ -119,6 +119,13 @@
       return contains(Cluster.get(Cluster.callersAddress(0), "/metrics"), Line);
     }));
   }
+  raw_reply Relay = exchangeRaw(Cluster.peersAddress(0),
+                                makeFrame("no message", frame_channel::Relay));
+  cr_assert(Relay.Closed);
+  cr_assert(Cluster.waitUntil([&] {
+    return contains(Cluster.get(Cluster.callersAddress(0), "/metrics"),
+                    "masticproxy_relay_bad_frames_total 1\n");
+  }));
   // A well-formed message may still name an address that is none.
   exchangeRaw(Cluster.peersAddress(0), Frame, /*EndAfter=*/true);
   cr_assert(Cluster.waitUntil([&] {
