Let the harness notice another run's platform at its port

Cause: two full runs of the tests each failed in process_relay_test, and one in process_bad_input_test, on what only foreign writes explain (a version conflict on a platform of its own, a request that ran twice under another run's id); both passed when run again. The ports of a test are fixed, and other work trees ran the same tests on this machine.

Change: after its platform answers, the harness looks whether the process it started is still there, and says that the port is in use if not.

Before: with another platform at the port the test went on with it. After: "the platform has ended; is 127.0.0.1:25500 in use by another run?".

Measured: 7 of 7 process tests pass in one run after the change. That the two failures came from another run is inferred, not shown: neither happened again.

--- a/packages/testing/masticproxy/src/Harness/test_cluster.cpp
+++ b/packages/testing/masticproxy/src/Harness/test_cluster.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::milliseconds CallTimeout{5000};
 constexpr std::chrono::milliseconds ConditionPoll{10};
 constexpr std::chrono::seconds StartWait{20};
+constexpr std::chrono::milliseconds OwnProcessCheck{100};
 
 void writeFile(const std::string &Path, const std::string &Text) {
   std::ofstream(Path) << Text;
@@ -72,6 +73,10 @@
                 StartWait);
   if (!Up)
     throw std::runtime_error("the platform did not start");
+  // Another run of the tests may hold the port, and its platform answers.
+  if (Platform->waitForExit(OwnProcessCheck))
+    throw std::runtime_error("the platform has ended; is " + platformAddress() +
+                             " in use by another run?");
 }
 
 void test_cluster::startVm(std::size_t Index) {
