Let every VM read the list of VMs now and then, and keep remote VMs once

Cause: the relay asks VMs of other data centres by the platform's list, which only the watchers read any more; the membership and the choice of links both kept those VMs.

--- a/packages/core/masticproxy/src/Cluster/link_choice.cpp
+++ b/packages/core/masticproxy/src/Cluster/link_choice.cpp
@@ -3,26 +3,22 @@
 #include "masticproxy/src/Cluster/rendezvous.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
 
 using namespace masticproxy;
 
-void link_choice::onListed(std::span<const member_info> Listed) {
-  Vms.clear();
-  for (const member_info &Vm : Listed)
-    onHeard(Vm);
-}
-
-void link_choice::onHeard(const member_info &Vm) {
-  if (Vm.DataCentre != DataCentre)
-    Vms[Vm.Name] = Vm;
-}
-
-std::vector<member_info> link_choice::targets(std::uint64_t Round) const {
-  std::string Key = DataCentre + '/' + std::to_string(Round);
+std::vector<member_info>
+masticproxy::chooseLinks(std::string_view DataCentre,
+                         std::span<const member_info> Remotes,
+                         std::uint64_t Round) {
+  std::string Key = std::string(DataCentre) + '/' + std::to_string(Round);
   std::map<std::string, std::vector<std::pair<std::uint64_t, member_info>>>
       ByDataCentre;
-  for (const auto &[Name, Vm] : Vms)
-    ByDataCentre[Vm.DataCentre].emplace_back(rendezvousWeight(Key, Name), Vm);
+  for (const member_info &Vm : Remotes)
+    ByDataCentre[Vm.DataCentre].emplace_back(rendezvousWeight(Key, Vm.Name),
+                                             Vm);
   std::vector<member_info> Chosen;
   for (auto &[Name, Ranked] : ByDataCentre) {
     std::sort(Ranked.begin(), Ranked.end(),
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -53,7 +53,6 @@
       Share(Links.Clock, shareTimingOf(Links.Settings)),
       Sync(Links.Clock, Links.Settings.PeersAddress,
            Links.Settings.HeartbeatInterval),
-      RemoteVms(Links.Settings.DataCentre),
       Catalogue(std::make_shared<const query_catalogue>()) {}
 
 void control_duty::drainRings() {
@@ -112,7 +111,9 @@
     return;
   // Members are a data centre's own matter.
   Heartbeat.Members.clear();
-  for (const member_info &Vm : RemoteVms.targets(Beats / BeatsInLinkRound))
+  for (const member_info &Vm :
+       chooseLinks(Links.Settings.DataCentre, Members.remoteMembers(),
+                   Beats / BeatsInLinkRound))
     send(Vm.PeerAddress, Heartbeat);
 }
 
@@ -144,7 +145,6 @@
 void control_duty::on(const vms_listed &Listed) {
   Members.onListed(Listed.Vms);
   publishRemotes();
-  RemoteVms.onListed(Listed.Vms);
 }
 
 void control_duty::on(const configuration_push &Push) { takeIn(Push); }
@@ -155,8 +155,6 @@
   Share.onHeartbeat(Heartbeat, Members.self());
   if (Sender.DataCentre == Links.Settings.DataCentre)
     Watchers.setContact(Sender.Name, Heartbeat.Platform);
-  else
-    RemoteVms.onHeard(Sender);
   if (auto Pull = Sync.onHeartbeat(Heartbeat))
     send(Sender.PeerAddress, *Pull);
 }
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.h
@@ -64,7 +64,6 @@
   connection_share Share;
   configuration_sync Sync;
   watcher_choice Watchers;
-  link_choice RemoteVms;
   std::shared_ptr<const query_catalogue> Catalogue;
   std::map<object_key, object_in_force> InForce;
   std::vector<member_info> Remotes;
--- a/packages/daemon/masticproxy/src/Daemon/platform_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/platform_thread.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds CallInterval{250};
 constexpr unsigned CallBurst = 12;
 
+/// How often a VM that does not watch reads the list of VMs.
+constexpr std::chrono::seconds IdleListInterval{30};
+
 /// How often a platform that is behind what was accepted is read again.
 constexpr std::chrono::milliseconds BehindPause{2000};
 
@@ -78,28 +81,36 @@
 }
 
 void platform_thread::run() {
-  while (waitForDuty()) {
-    bool Answered = followOnce();
-    Reachable.store(Answered);
-    if (!Answered) {
-      pause(pauseAfterFailure());
-      continue;
-    }
-    Backoff.onSuccess();
-    if (Follower.behind())
-      pause(BehindPause);
+  while (std::optional<bool> Watch = waitForDuty()) {
+    if (*Watch)
+      follow();
+    else
+      listVms(IdleListInterval);
   }
 }
 
-bool platform_thread::waitForDuty() {
+void platform_thread::follow() {
+  bool Answered = followOnce();
+  Reachable.store(Answered);
+  if (!Answered)
+    return pause(pauseAfterFailure());
+  Backoff.onSuccess();
+  if (Follower.behind())
+    pause(BehindPause);
+}
+
+std::optional<bool> platform_thread::waitForDuty() {
   std::unique_lock<std::mutex> Lock(Mutex);
-  Wake.wait(Lock, [this] { return Stopping || Watching; });
+  Wake.wait_until(Lock, NextListing, [this] { return Stopping || Watching; });
+  if (Stopping)
+    return std::nullopt;
   Follower.followFrom(KnownRevision);
-  return !Stopping;
+  return Watching;
 }
 
 bool platform_thread::followOnce() {
-  listVms();
+  if (!Listed || Clock.now() >= NextListing)
+    listVms(WatchWait);
   if (!spendCall())
     return true;
   // The first watch returns at once, with all objects there are.
@@ -115,14 +126,16 @@
   return true;
 }
 
-void platform_thread::listVms() {
-  if (Clock.now() < NextListing || !spendCall())
+void platform_thread::listVms(duration Interval) {
+  if (!spendCall())
     return;
+  // Set first: while the platform is down, the idle VMs don't press on it.
+  NextListing = Clock.now() + Interval;
   platform_vms_result Result = Platform.listVms();
-  if (auto *Vms = std::get_if<std::vector<platform_vm>>(&Result)) {
+  auto *Vms = std::get_if<std::vector<platform_vm>>(&Result);
+  Listed = Vms != nullptr;
+  if (Vms)
     push(vms_listed{toMembers(*Vms)});
-    NextListing = Clock.now() + WatchWait;
-  }
 }
 
 bool platform_thread::spendCall() {
--- a/packages/daemon/masticproxy/src/Daemon/platform_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/platform_thread.h
@@ -11,6 +11,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace masticproxy {
@@ -19,7 +20,7 @@
 class platform_api;
 
 /// \brief Follows the platform's objects and its list of VMs while this VM is
-/// chosen to; makes no call otherwise.
+/// chosen to; otherwise only reads the list, now and then.
 class platform_thread {
 public:
   platform_thread(platform_api &Platform, const clock &Clock,
@@ -41,9 +42,12 @@
 
 private:
   void run();
-  bool waitForDuty();
+  /// Waits until there is something to do. \returns whether to watch, or
+  /// nothing at the end.
+  std::optional<bool> waitForDuty();
+  void follow();
   bool followOnce();
-  void listVms();
+  void listVms(duration Interval);
   bool spendCall();
   void pause(duration Span);
   duration pauseAfterFailure();
@@ -59,6 +63,8 @@
   retry_backoff Backoff;
   const clock &Clock;
   time_point NextListing{};
+  /// Whether the last reading of the list was answered.
+  bool Listed = false;
   std::mutex Mutex;
   std::condition_variable Wake;
   bool Stopping = false;
