--- a/packages/ctl/masticproxy/src/Ctl/status_command.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/status_command.cpp
@@ -36,7 +36,12 @@
       << Self["state"].get<std::string>() << ", configuration revision "
       << Root["configuration_revision"] << ", platform "
       << (Root["platform_reachable"].get<bool>() ? "reachable" : "unreachable")
-      << "\n";
+      << (Root.value("platform_behind", false) ? " but behind" : "")
+      << (Root.value("watching", false) ? " (watching)" : "");
+  if (Root.value("shares_settled", true))
+    Out << ", connections shared by " << Root.value("sharers", 1) << "\n";
+  else
+    Out << ", no share of connections yet\n";
   for (const nlohmann::json &Peer : Root["peers"])
     Out << std::setw(VmWidth) << ""
         << "peer " << Peer["name"].get<std::string>() << " "
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -248,7 +248,7 @@
   Status->ConfigurationRevision = Sync.table().revision();
   Status->PlatformReachable = platformReached();
   Status->Watching = Watching;
-  Status->PlatformBehind = PlatformBehind;
+  Status->PlatformBehind = Watching && PlatformBehind;
   Status->SharesSettled = Share.grant().Settled;
   Status->Sharers = Share.grant().Others.size() + 1;
   for (const auto &[Key, Object] : InForce)
