--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -164,7 +164,7 @@
       Attempt, attempt_record{Ticket, Shard, Run.generation(), Target.Address,
                               /*Relayed=*/false, Run.indexName(), Kind,
                               Clock.now(), /*Cancelled=*/false});
-  if (Run.rules().MayRepeat)
+  if (Run.rules().MayRepeat && Kind != attempt_kind::Hedge)
     scheduleHedge(Attempt, Added.first->second);
   Commands.push_back(send_attempt{Attempt, Run.requestId(), Target.Address,
                                   Run.indexName(), Run.snapshot().Id,
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -5,13 +5,6 @@
 
 using namespace masticproxy;
 
-namespace {
-
-/// Attempts at one shard that may run side by side.
-constexpr std::size_t MostOpenAttempts = 3;
-
-} // namespace
-
 query_run::query_run(query_arrived NewRequest, profile NewProfile,
                      std::shared_ptr<const index_snapshot> NewSnapshot,
                      time_point NewDeadline)
@@ -29,9 +22,8 @@
 }
 
 bool query_run::mayHedge(std::size_t Shard) const {
-  std::size_t Open = Shards[Shard].Open.size();
-  bool Few = Open > 0 && Open < MostOpenAttempts;
-  return Profile.MayRepeat && Few && !Partial.has(Shard);
+  bool OneOpen = Shards[Shard].Open.size() == 1;
+  return Profile.MayRepeat && OneOpen && !Partial.has(Shard);
 }
 
 void query_run::attemptStarted(std::size_t Shard, attempt_id Attempt,
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -42,7 +42,7 @@
   /// \returns whether the shard has been attempted on the pinned snapshot.
   bool wasAttempted(std::size_t Shard) const { return Shards[Shard].Attempted; }
 
-  /// \returns whether a further attempt may run beside those that are open.
+  /// \returns whether a second attempt may run beside the only open one.
   bool mayHedge(std::size_t Shard) const;
 
   /// \returns the upstreams already tried for a shard.
