Relay shards of a lost local set without a retry for each request

Cause: the policy never ejects a whole set, so with all local replicas out of reach each request tried one of them before another data centre was asked, and paid for the second try from the load budget.

Change: a relay is looked for first; it is only found where no local replica looks usable. Waiting shards of one upstream start up to eight at a look, in place of one.

Before: the new test fails at the first request after both local replicas have failed. After: it passes, as do the 17 others.

--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -9,6 +9,9 @@
 /// How often shards that wait for a place look for one again.
 constexpr std::chrono::milliseconds WaitingPoll{5};
 
+/// Shards of one upstream's queue that may start at one look.
+constexpr int WaitingRounds = 8;
+
 } // namespace
 
 query_engine::query_engine(const clock &Clock, engine_limits Limits)
@@ -131,11 +134,13 @@
   bool Retry = Run.wasAttempted(Shard);
   if (Retry && !Upstreams.hasRetry())
     return Waiting.addForBudget({Ticket, Shard});
+  // Not only where no replica is left: the policy goes on choosing among
+  // replicas that all look bad, which costs a retry each.
+  if (startRelay(Ticket, Run, Shard))
+    return payFor(Run, Retry);
   const shard &Target = Run.snapshot().Shards[Shard];
   const replica *Chosen =
       Upstreams.choose(Target.Replicas, Run.tried(Shard), Clock.now());
-  if (!Chosen && startRelay(Ticket, Run, Shard))
-    return payFor(Run, Retry);
   if (!Chosen) {
     // Every replica was tried or is busy: let it ask each of them once more.
     Run.forgetTried(Shard);
@@ -181,8 +186,13 @@
 }
 
 void query_engine::startAllWaiting() {
-  for (waiting_shard Next : Waiting.takeHeads())
-    startWaiting(Next);
+  std::size_t Before = 0;
+  int Rounds = 0;
+  do {
+    Before = Waiting.size();
+    for (waiting_shard Next : Waiting.takeHeads())
+      startWaiting(Next);
+  } while (Waiting.size() < Before && ++Rounds < WaitingRounds);
   while (Upstreams.hasRetry()) {
     std::optional<waiting_shard> Next = Waiting.takeForBudget();
     if (!Next)
--- a/packages/core/masticproxy/src/Query/query_engine_relay.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_relay.cpp
@@ -76,7 +76,7 @@
   if (query_run *Run = findRun(*Record)) {
     Run->attemptFailed(Record->Shard, Event.Attempt,
                        attemptFailureOf(Event.End));
-    if (Event.End == relay_end::RefusedSnapshot)
+    if (Event.End == relay_end::RefusedSnapshot && !Record->Cancelled)
       Run->snapshotGone();
     if (!restartIfDue(Record->Ticket, *Run))
       startShard(Record->Ticket, *Run, Record->Shard);
