--- a/packages/core/tests/outlier_ejection_test.cpp
+++ b/packages/core/tests/outlier_ejection_test.cpp
@@ -27,6 +27,7 @@
       Bad += Failures > 0 ? 1 : 0;
     }
     std::vector<candidate> Set;
+    Set.reserve(Healths.size());
     for (const upstream_health &Health : Healths)
       Set.push_back({nullptr, &Health});
     std::vector<bool> Ejected = EjectFrom(Set, Now);
--- a/tools/measure_tail.sh
+++ b/tools/measure_tail.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Compares the routing policies "adaptive" and "naive" in one run against the
-# stand-ins: calm, with stragglers, and with one replica of each shard lost.
+# stand-ins: calm, with stragglers (1 % of attempts 20 times slower), with one
+# replica of each shard lost, with one of each ten times slower, and overloaded.
 # usage: measure_tail.sh [BUILD_FOLDER]
 # Environment: FIRST_PORT (100 ports), RATE (requests a second), LENGTH_MS and
 # ROUNDS (of each policy under each condition), CONDITIONS (which of them).
@@ -11,9 +12,12 @@
 RATE=${RATE:-120}
 LENGTH_MS=${LENGTH_MS:-5000}
 ROUNDS=${ROUNDS:-3}
-CONDITIONS=${CONDITIONS:-calm stragglers replica_lost}
+CONDITIONS=${CONDITIONS:-calm stragglers replica_lost replica_slow overload}
 SHARDS=10
 REPLICAS=3
+SERVICE_US=5000
+SLOW_US=50000
+OVERLOAD_US=120000
 UPSTREAMS_PORT=$((FIRST_PORT + 40))
 PLATFORM=127.0.0.1:$FIRST_PORT
 FOLDER=$(mktemp -d)
@@ -62,7 +66,7 @@
   PIDS+=($!)
   SHAPE=(--first-port "$UPSTREAMS_PORT" --shards "$SHARDS"
     --replicas "$REPLICAS" --slots 3 --connections 65 --setup-ms 6
-    --service-us 5000)
+    --service-us "$SERVICE_US")
   "$BIN/upstream_stub" "${SHAPE[@]}" >"$FOLDER/upstreams.log" 2>&1 &
   PIDS+=($!)
   wait_for "http://$PLATFORM/stub/counts"
@@ -118,6 +122,18 @@
 
 vms() { [ "$1" = adaptive ] && echo "0 1" || echo "2 3"; }
 
+set_condition() { # condition
+  SHARE=0
+  SERVICE=$SERVICE_US
+  [ "$1" = stragglers ] && SHARE=0.01
+  [ "$1" = overload ] && SERVICE=$OVERLOAD_US
+  faults "{\"straggler_share\":$SHARE,\"straggler_factor\":20,\"service_us\":$SERVICE}" \
+    $(upstreams)
+  if [ "$1" = replica_slow ]; then
+    faults "{\"service_us\":$SLOW_US}" $(first_replicas)
+  fi
+}
+
 # The lost replicas die a second into the load and come back after it.
 lose_replicas() {
   sleep 1
@@ -152,9 +168,7 @@
   load "$POLICY" "$(targets "$POLICY")" "$FOLDER/warm" 3000
 done
 for CONDITION in $CONDITIONS; do
-  SHARE=0
-  [ "$CONDITION" = stragglers ] && SHARE=0.01
-  faults "{\"straggler_share\":$SHARE,\"straggler_factor\":20}" $(upstreams)
+  set_condition "$CONDITION"
   for ROUND in $(seq "$ROUNDS"); do
     for POLICY in adaptive naive; do measure "$CONDITION" "$POLICY" "$ROUND"; done
   done
