Keep to the concurrency that an upstream takes without refusals

Cause: under overload the VMs learned of full queues by refusals alone, and each refusal cost a retry out of the load budget.

Change: a refusal cuts the attempts open at an upstream to 0.8 of those that it had, refusals that come together count once, and each result lets the number grow again by its inverse; other shards wait here in place of there. The naive policy is as before.

--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -81,10 +81,11 @@
 
 void upstream_table::failed(const attempt_facts &Attempt,
                             attempt_failure Failure, time_point Now) {
-  upstream_health &Health = stateOf(Attempt.Upstream, Now).Health;
+  upstream_state &State = stateOf(Attempt.Upstream, Now);
+  upstream_health &Health = State.Health;
   switch (Failure) {
   case attempt_failure::Refused:
-    return Health.refused(Now);
+    return Health.refused(State.InFlight, Now);
   case attempt_failure::Draining:
     return Health.draining(Now + DrainPause);
   case attempt_failure::NotSent:
--- a/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
@@ -56,7 +56,8 @@
   std::vector<candidate> Open;
   for (std::size_t I = 0; I < Set.size(); ++I) {
     bool Usable = Set[I].isOpen(Now) && !Set[I].Health->isBackingOff(Now);
-    if (Usable && !Ejected[I])
+    bool Room = Set[I].Health->hasRoom(Set[I].InFlight);
+    if (Usable && Room && !Ejected[I])
       Open.push_back(Set[I]);
   }
   return Open;
--- a/packages/core/masticproxy/src/Routing/upstream_health.cpp
+++ b/packages/core/masticproxy/src/Routing/upstream_health.cpp
@@ -20,6 +20,9 @@
 /// How long an upstream that refused gets no new work.
 constexpr std::chrono::milliseconds RefusalPause{20};
 
+/// Share of the concurrency that is kept after a refusal.
+constexpr double ConcurrencyCut = 0.8;
+
 /// How long a refusal counts as a sign of overload.
 constexpr std::chrono::milliseconds OverloadMemory{500};
 
@@ -44,6 +47,7 @@
 void upstream_health::answered(duration NewLatency, time_point Now) {
   addLatency(NewLatency, Now);
   Failures = 0;
+  Concurrency += 1.0 / Concurrency;
 }
 
 void upstream_health::abandoned(duration Age, time_point Now) {
@@ -53,7 +57,16 @@
     addLatency(Age, Now);
 }
 
-void upstream_health::refused(time_point Now) { RefusedAt = Now; }
+void upstream_health::refused(unsigned InFlight, time_point Now) {
+  // Refusals that come together are one sign: they were sent before the first
+  // of them was known.
+  bool Known = isBackingOff(Now);
+  RefusedAt = Now;
+  if (Known)
+    return;
+  double Taken = std::min(Concurrency, static_cast<double>(InFlight));
+  Concurrency = std::max(1.0, Taken * ConcurrencyCut);
+}
 
 void upstream_health::failed(time_point Now) {
   // Attempts that were open at the same time fail together: one event.
--- a/packages/core/masticproxy/src/Routing/upstream_health.h
+++ b/packages/core/masticproxy/src/Routing/upstream_health.h
@@ -3,6 +3,8 @@
 
 #include "masticproxy/src/Base/clock.h"
 
+#include <limits>
+
 namespace masticproxy {
 
 /// \brief What this VM's own attempts have shown of one upstream.
@@ -17,8 +19,9 @@
   /// Notes an attempt that was given up after \p Age without a result.
   void abandoned(duration Age, time_point Now);
 
-  /// Notes that the upstream refused an attempt.
-  void refused(time_point Now);
+  /// Notes that the upstream refused an attempt while \p InFlight others of
+  /// this VM were open there.
+  void refused(unsigned InFlight, time_point Now);
 
   /// Notes that a connection failed.
   void failed(time_point Now);
@@ -36,6 +39,10 @@
   /// use.
   bool isBackingOff(time_point Now) const;
 
+  /// \returns whether a further attempt beside \p InFlight open ones keeps to
+  /// what the upstream has taken without refusals.
+  bool hasRoom(unsigned InFlight) const { return InFlight < Concurrency; }
+
   /// \returns whether it has refused work lately.
   bool isOverloaded(time_point Now) const;
 
@@ -60,6 +67,8 @@
   time_point SuspectUntil{};
   time_point DrainUntil{};
   unsigned Failures = 0;
+  /// Attempts open at a time; unbounded until the first refusal.
+  double Concurrency = std::numeric_limits<double>::infinity();
 };
 
 } // namespace masticproxy
