--- a/packages/core/tests/adaptive_policy_test.cpp
+++ b/packages/core/tests/adaptive_policy_test.cpp
@@ -99,3 +99,16 @@
   auto Delay = F.Table.hedgeDelay("i");
   cr_assert(Delay && *Delay > milliseconds(90) && *Delay < milliseconds(115));
 }
+
+Test(adaptive_policy, keeps_to_what_was_taken_without_refusals) {
+  table_fixture F;
+  F.Set.resize(1);
+  for (int I = 0; I < 5; ++I)
+    F.Table.attemptStarted("a");
+  F.fail("a", attempt_failure::Refused);
+  F.Clock.advance(seconds(1));
+  F.Table.attemptEnded("a");
+  cr_assert(F.choices().empty());
+  F.Table.attemptEnded("a");
+  cr_assert(F.choices()["a"] > 0);
+}
