Admit requests by profile: reserved places, and early refusal of the late

Cause: limits.queries was one bound for all profiles, so a flood of one took every place, and requests waited their whole wait in queues that could not be worked off in time. Change: half of the places is reserved in equal parts; after a request was late a profile may have under way what Little's law allows, growing again with each quick answer. Conclusion: the bound on places holds at once; the bound on waiting acts about one wait after an overload starts.

--- a/packages/core/masticproxy/src/Query/query_catalogue.cpp
+++ b/packages/core/masticproxy/src/Query/query_catalogue.cpp
@@ -35,3 +35,11 @@
   if (Found != Indexes.end())
     Indexes.erase(Found);
 }
+
+std::vector<std::string> query_catalogue::profileNames() const {
+  std::vector<std::string> Names;
+  Names.reserve(Profiles.size());
+  for (const auto &[Name, Profile] : Profiles)
+    Names.push_back(Name);
+  return Names;
+}
--- a/packages/core/masticproxy/src/Query/query_catalogue.h
+++ b/packages/core/masticproxy/src/Query/query_catalogue.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace masticproxy {
 
@@ -32,6 +33,9 @@
   /// \returns the index called \p Name, or null.
   const index_map *findIndex(std::string_view Name) const;
 
+  /// \returns the names of all profiles.
+  std::vector<std::string> profileNames() const;
+
   /// \returns all index maps by name.
   const std::map<std::string, index_map, std::less<>> &indexes() const {
     return Indexes;
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -15,7 +15,7 @@
     : Clock(Clock), Limits(std::move(Limits)),
       Catalogue(std::make_shared<const query_catalogue>()),
       Upstreams(makePolicy(this->Limits.Policy, this->Limits.Seed)),
-      Inbox(this->Limits.Relayed) {
+      Admission(this->Limits.Queries), Inbox(this->Limits.Relayed) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
 }
 
@@ -53,15 +53,15 @@
     return refuse(Event, unknown_index{});
   if (Leaving)
     return refuse(Event, not_run{"this VM is leaving"});
-  if (Runs.size() - Inbox.running() >= Limits.Queries)
-    return refuse(Event, not_run{"too many requests under way"});
+  if (Runs.contains(Event.Ticket))
+    return;
+  if (auto Refusal = Admission.admit(*Profile))
+    return refuse(Event, not_run{std::string(toString(*Refusal))});
 
   query_ticket Ticket = Event.Ticket;
   time_point Deadline = Clock.now() + Profile->Wait;
   query_run NewRun(std::move(Event), *Profile, Index->Current, Deadline);
-  auto [Position, Added] = Runs.emplace(Ticket, std::move(NewRun));
-  if (!Added)
-    return;
+  auto Position = Runs.emplace(Ticket, std::move(NewRun)).first;
   Deadlines.emplace(Deadline, Ticket);
   startShards(Ticket, Position->second);
   finishIfOver(Ticket);
@@ -105,6 +105,7 @@
 void query_engine::on(catalogue_changed Event) {
   Catalogue = std::move(Event.Catalogue);
   Configured = true;
+  Admission.setProfiles(Catalogue->profileNames());
   for (auto &[Ticket, Run] : Runs)
     restartIfDue(Ticket, Run);
 }
@@ -281,13 +282,24 @@
 void query_engine::finish(run_map::iterator Run) {
   Deadlines.erase({Run->second.deadline(), Run->first});
   std::string RequestId = Run->second.requestId();
-  deliver(Run->first, std::move(RequestId), outcomeOf(*Run));
+  query_outcome Outcome = outcomeOf(*Run);
+  releasePlace(Run->first, Run->second, Outcome);
+  deliver(Run->first, std::move(RequestId), std::move(Outcome));
   cancelOpen(Run->second);
   for (std::size_t I = 0; I < Run->second.snapshot().Shards.size(); ++I)
     Waiting.drop({Run->first, I});
   Runs.erase(Run);
 }
 
+void query_engine::releasePlace(query_ticket Ticket, const query_run &Run,
+                                const query_outcome &Outcome) {
+  // Attempts for other VMs have places of their own.
+  if (relay_inbox::owns(Ticket))
+    return;
+  Admission.finished(Run.rules(), Run.deadline() - Run.rules().Wait,
+                     std::holds_alternative<answered>(Outcome), Clock.now());
+}
+
 void query_engine::cancelOpen(query_run &Run) {
   for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
     cancelOpen(Run, I);
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPROXY_QUERY_QUERY_ENGINE_H
 #define MASTICPROXY_QUERY_QUERY_ENGINE_H
 
+#include "masticproxy/src/Admission/admission.h"
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Query/engine_command.h"
 #include "masticproxy/src/Query/engine_event.h"
@@ -90,8 +91,8 @@
   void on(timer_fired Event);
   void on(leave_started Event);
   void on(relay_failed Event);
-  void on(relay_arrived Event);
-  void on(relay_cancelled Event);
+  void on(const relay_arrived &Event);
+  void on(const relay_cancelled &Event);
   void on(relays_closed Event);
 
   void startShards(query_ticket Ticket, query_run &Run);
@@ -115,6 +116,8 @@
   bool restartIfDue(query_ticket Ticket, query_run &Run);
   void finishIfOver(query_ticket Ticket);
   void finish(run_map::iterator Run);
+  void releasePlace(query_ticket Ticket, const query_run &Run,
+                    const query_outcome &Outcome);
   void deliver(query_ticket Ticket, std::string RequestId,
                query_outcome Outcome);
   static query_outcome outcomeOf(run_map::reference Run);
@@ -126,6 +129,7 @@
   engine_limits Limits;
   std::shared_ptr<const query_catalogue> Catalogue;
   upstream_table Upstreams;
+  admission Admission;
   relay_router Router;
   relay_inbox Inbox;
   run_map Runs;
--- a/packages/core/masticproxy/src/Query/query_engine_relay.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_relay.cpp
@@ -84,15 +84,15 @@
   }
 }
 
-void query_engine::on(relay_arrived Event) {
+void query_engine::on(const relay_arrived &Event) {
   const relay_request &Asked = Event.Request;
-  auto Admission = Inbox.accept(Asked, Event.Connection, Clock.now());
-  if (Admission.Answer)
+  auto Accepted = Inbox.accept(Asked, Event.Connection, Clock.now());
+  if (Accepted.Answer)
     Commands.push_back(answer_relay{Event.Connection, Asked.RequestId,
-                                    std::move(*Admission.Answer)});
-  if (!Admission.Ticket)
+                                    std::move(*Accepted.Answer)});
+  if (!Accepted.Ticket)
     return;
-  query_ticket Ticket = *Admission.Ticket;
+  query_ticket Ticket = *Accepted.Ticket;
   const index_map *Index = Catalogue->findIndex(Asked.Index);
   bool SameSnapshot = Index && Index->Current->Id == Asked.Snapshot;
   auto Single =
@@ -115,7 +115,7 @@
   finishIfOver(Ticket);
 }
 
-void query_engine::on(relay_cancelled Event) {
+void query_engine::on(const relay_cancelled &Event) {
   std::optional<query_ticket> Ticket = Inbox.cancel(Event.Cancel, Clock.now());
   if (!Ticket)
     return;
