Let profiles take turns at places that become free

Cause: shards that wait for a place stood in one order, so a request in a hurry waited behind all of another profile's flood. Ruled out: admission alone, which bounds the flood by its own long wait. Change: each queue of the waiting list is a turn_queue, with one line for each profile; places go round. The property's broken variant, one common line, is caught.

--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -131,7 +131,7 @@
     return;
   bool Retry = Run.wasAttempted(Shard);
   if (Retry && !Upstreams.hasRetry())
-    return Waiting.addForBudget({Ticket, Shard});
+    return Waiting.addForBudget({Ticket, Shard}, Run.rules().Name);
   const shard &Target = Run.snapshot().Shards[Shard];
   const replica *Chosen =
       Upstreams.choose(Target.Replicas, Run.tried(Shard), Clock.now());
@@ -140,7 +140,7 @@
   if (!Chosen) {
     // Every replica was tried or is busy: let it ask each of them once more.
     Run.forgetTried(Shard);
-    Waiting.add({Ticket, Shard}, Target.Replicas);
+    Waiting.add({Ticket, Shard}, Target.Replicas, Run.rules().Name);
     return;
   }
   payFor(Run, Retry);
--- a/packages/core/masticproxy/src/Routing/waiting_list.cpp
+++ b/packages/core/masticproxy/src/Routing/waiting_list.cpp
@@ -18,16 +18,17 @@
   return S.Ticket * TicketFactor + S.Shard;
 }
 
-void waiting_list::add(waiting_shard Shard, std::span<const replica> Replicas) {
+void waiting_list::add(waiting_shard Shard, std::span<const replica> Replicas,
+                       std::string_view Profile) {
   if (Replicas.empty())
     return;
   std::uint64_t Number = renew(Shard);
   for (const replica &Replica : Replicas)
-    push(ByUpstream[Replica.Address], {Shard, Number});
+    push(ByUpstream[Replica.Address], {Shard, Number}, Profile);
 }
 
-void waiting_list::addForBudget(waiting_shard Shard) {
-  push(Budget, {Shard, renew(Shard)});
+void waiting_list::addForBudget(waiting_shard Shard, std::string_view Profile) {
+  push(Budget, {Shard, renew(Shard)}, Profile);
 }
 
 std::optional<waiting_shard> waiting_list::takeFor(std::string_view Upstream) {
@@ -54,14 +55,15 @@
   return Live[Shard] = NextNumber++;
 }
 
-void waiting_list::push(queue &Queue, const entry &Entry) {
-  Queue.push_back(Entry);
+void waiting_list::push(queue &Queue, const entry &Entry,
+                        std::string_view Profile) {
+  Queue.push(Profile, Entry);
   // Entries taken through another queue are dropped when they come first. A
   // queue that is never served would keep them, so it is cleaned when they
   // are the larger part.
   bool Grown = Queue.size() > LeastCleaned && Queue.size() > 2 * Live.size();
   if (Grown)
-    std::erase_if(Queue, [this](const entry &E) { return !isLive(E); });
+    Queue.clean([this](const entry &E) { return isLive(E); });
 }
 
 bool waiting_list::isLive(const entry &Entry) const {
@@ -70,13 +72,9 @@
 }
 
 std::optional<waiting_shard> waiting_list::takeFirst(queue &Queue) {
-  while (!Queue.empty()) {
-    entry First = Queue.front();
-    Queue.pop_front();
-    if (!isLive(First))
-      continue;
-    Live.erase(First.Shard);
-    return First.Shard;
-  }
-  return std::nullopt;
+  auto First = Queue.take([this](const entry &E) { return isLive(E); });
+  if (!First)
+    return std::nullopt;
+  Live.erase(First->Shard);
+  return First->Shard;
 }
--- a/packages/core/masticproxy/src/Routing/waiting_list.h
+++ b/packages/core/masticproxy/src/Routing/waiting_list.h
@@ -1,10 +1,11 @@
 #ifndef MASTICPROXY_ROUTING_WAITING_LIST_H
 #define MASTICPROXY_ROUTING_WAITING_LIST_H
 
+#include "masticproxy/src/Admission/turn_queue.h"
+
 #include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -26,7 +27,8 @@
 };
 
 /// \brief Shards that wait for a place at one of their replicas, or for the
-/// load budget; in order of arrival.
+/// load budget; in order of arrival within each profile, and the profiles take
+/// turns.
 ///
 /// A shard stands in the queue of each of its replicas, and counts once. The
 /// event of one upstream looks at the head of that upstream's queue only.
@@ -34,10 +36,11 @@
 public:
   /// Adds \p Shard, which waits for any of \p Replicas; instead of an earlier
   /// wait of the same shard, if there is one.
-  void add(waiting_shard Shard, std::span<const replica> Replicas);
+  void add(waiting_shard Shard, std::span<const replica> Replicas,
+           std::string_view Profile = {});
 
   /// Adds \p Shard, which waits for the load budget.
-  void addForBudget(waiting_shard Shard);
+  void addForBudget(waiting_shard Shard, std::string_view Profile = {});
 
   /// Ends the wait of \p Shard, if it waits.
   void drop(waiting_shard Shard) { Live.erase(Shard); }
@@ -61,14 +64,14 @@
     waiting_shard Shard;
     std::uint64_t Number = 0;
   };
-  using queue = std::deque<entry>;
+  using queue = turn_queue<entry>;
 
   struct shard_hash {
     std::size_t operator()(const waiting_shard &S) const;
   };
 
   std::uint64_t renew(waiting_shard Shard);
-  void push(queue &Queue, const entry &Entry);
+  void push(queue &Queue, const entry &Entry, std::string_view Profile);
   bool isLive(const entry &Entry) const;
   std::optional<waiting_shard> takeFirst(queue &Queue);
 
