--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -18,7 +18,8 @@
     : Clock(Clock), Limits(std::move(Limits)),
       Catalogue(std::make_shared<const query_catalogue>()),
       Upstreams(makePolicy(this->Limits.Policy, this->Limits.Seed)),
-      Inbox(this->Limits.Relayed), Poison(Clock, this->Limits.ProbeFirst) {
+      Admission(this->Limits.Queries), Inbox(this->Limits.Relayed),
+      Poison(Clock, this->Limits.ProbeFirst) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
 }
 
@@ -61,15 +62,15 @@
       return refuse(Event, std::move(*Refusal));
   if (Leaving)
     return refuse(Event, not_run{"this VM is leaving"});
-  if (Runs.size() - Inbox.running() >= Limits.Queries)
-    return refuse(Event, not_run{"too many requests under way"});
+  if (Runs.contains(Event.Ticket))
+    return;
+  if (auto Refusal = Admission.admit(*Profile))
+    return refuse(Event, not_run{std::string(toString(*Refusal))});
 
   query_ticket Ticket = Event.Ticket;
   time_point Deadline = Clock.now() + Profile->Wait;
   query_run NewRun(std::move(Event), *Profile, Index->Current, Deadline);
-  auto [Position, Added] = Runs.emplace(Ticket, std::move(NewRun));
-  if (!Added)
-    return;
+  auto Position = Runs.emplace(Ticket, std::move(NewRun)).first;
   Deadlines.emplace(Deadline, Ticket);
   if (!Profile->MayRepeat)
     return awaitClaim(Ticket, Position->second);
@@ -110,7 +111,8 @@
     // A suspect takes the shards that wait first.
     if (Event.UpstreamDied)
       Waiting.add({Record->Ticket, Record->Shard},
-                  Run->snapshot().Shards[Record->Shard].Replicas);
+                  Run->snapshot().Shards[Record->Shard].Replicas,
+                  Run->rules().Name);
     else if (!restartIfDue(Record->Ticket, *Run))
       startShard(Record->Ticket, *Run, Record->Shard);
     finishIfOver(Record->Ticket);
@@ -121,6 +123,7 @@
 void query_engine::on(catalogue_changed Event) {
   Catalogue = std::move(Event.Catalogue);
   Configured = true;
+  Admission.setProfiles(Catalogue->profileNames());
   for (auto &[Ticket, Run] : Runs)
     restartIfDue(Ticket, Run);
 }
@@ -146,7 +149,7 @@
     return;
   bool Retry = Run.wasAttempted(Shard);
   if (Retry && !Upstreams.hasRetry())
-    return Waiting.addForBudget({Ticket, Shard});
+    return Waiting.addForBudget({Ticket, Shard}, Run.rules().Name);
   // Not only where no replica is left: the policy goes on choosing among
   // replicas that all look bad, which costs a retry each.
   if (startRelay(Ticket, Run, Shard))
@@ -157,11 +160,11 @@
   if (!Chosen) {
     // Every replica was tried or is busy: let it ask each of them once more.
     Run.forgetTried(Shard);
-    Waiting.add({Ticket, Shard}, Target.Replicas);
+    Waiting.add({Ticket, Shard}, Target.Replicas, Run.rules().Name);
     return;
   }
   if (!Poison.mayStart(Run.fingerprint(), Chosen->Address))
-    return Waiting.add({Ticket, Shard}, Target.Replicas);
+    return Waiting.add({Ticket, Shard}, Target.Replicas, Run.rules().Name);
   payFor(Run, Retry);
   send(Ticket, Run, Shard, *Chosen,
        Retry ? attempt_kind::Retry : attempt_kind::First);
@@ -314,6 +317,7 @@
   Deadlines.erase({Run->second.deadline(), Run->first});
   releaseClaim(Run->second, Outcome);
   std::string RequestId = Run->second.requestId();
+  releasePlace(Run->first, Run->second, Outcome);
   deliver(Run->first, std::move(RequestId), std::move(Outcome));
   cancelOpen(Run->second);
   for (std::size_t I = 0; I < Run->second.snapshot().Shards.size(); ++I)
@@ -321,6 +325,15 @@
   Runs.erase(Run);
 }
 
+void query_engine::releasePlace(query_ticket Ticket, const query_run &Run,
+                                const query_outcome &Outcome) {
+  // Attempts for other VMs have places of their own.
+  if (relay_inbox::owns(Ticket))
+    return;
+  Admission.finished(Run.rules(), Run.deadline() - Run.rules().Wait,
+                     std::holds_alternative<answered>(Outcome), Clock.now());
+}
+
 void query_engine::cancelOpen(query_run &Run) {
   for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
     cancelOpen(Run, I);
