--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -17,7 +17,6 @@
 #include <vector>
 
 using namespace masticproxy;
-using std::chrono::steady_clock;
 
 namespace {
 
--- a/packages/core/tests/poison_property_test.cpp
+++ b/packages/core/tests/poison_property_test.cpp
@@ -74,7 +74,8 @@
 
   void endOne() {
     Clock.advance(milliseconds(1));
-    auto Position = std::next(Open.begin(), Random() % Open.size());
+    auto Position = std::next(
+        Open.begin(), static_cast<std::ptrdiff_t>(Random() % Open.size()));
     auto [Id, Ended] = *Position;
     if (Ended.Query == Poison)
       return die(Ended.Upstream);
--- a/packages/testing/tests/admission_process_test.cpp
+++ b/packages/testing/tests/admission_process_test.cpp
@@ -44,6 +44,7 @@
   int Answered = 0;
   {
     std::vector<std::thread> Callers;
+    Callers.reserve(FloodCallers);
     for (int I = 0; I < FloodCallers; ++I)
       Callers.emplace_back([&] {
         while (!Over.load())
