Heartbeats whose size does not grow with the members

Cause: a heartbeat carried the whole member list: 3,436 bytes at 40 VMs, 441 kB a second both ways, 20 times the budget of 22 kB/s. The budget held up to 7 VMs.

Ruled out: an interval of 1 s with 39 receivers (headers of TCP and IP alone take 8 kB/s and small data centres would pay in detection time); indirect probes, since each member must say itself that it counts a VM.

Change: at most 13 receivers an interval; a short form without the sender's address; members that fell silent are asked about, and peers that hear them answer; a digest of the members, and eight members to a receiver whose digest differs; heartbeats to other data centres every second interval. peers.suspect_after is 3 s. A VM begins to hold connections only when all that count it know the same members.

--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -21,7 +21,7 @@
      "How long a watch waits at the platform for a change."},
     {"peers.heartbeat_interval", value_kind::Duration, "\"500ms\"", 50, 10000,
      "", "Time between two heartbeats to a peer."},
-    {"peers.suspect_after", value_kind::Duration, "\"2s\"", 100, 60000, "",
+    {"peers.suspect_after", value_kind::Duration, "\"3s\"", 100, 60000, "",
      "Silence after which a peer is suspected."},
     {"peers.dead_after", value_kind::Duration, "\"6s\"", 200, 600000, "",
      "Silence after which a suspected peer is taken for dead."},
--- a/packages/core/masticproxy/src/Cluster/connection_share.cpp
+++ b/packages/core/masticproxy/src/Cluster/connection_share.cpp
@@ -14,12 +14,9 @@
   const member_info &Sender = Heartbeat.Sender;
   if (Sender.DataCentre != Self.DataCentre)
     return;
-  for (const member_info &Seen : Heartbeat.Members) {
-    bool Counts = Seen.Name == Self.Name && Seen.Counted &&
-                  Seen.Incarnation == Self.Incarnation;
-    if (Counts)
-      CountedBy[Sender.Name] = Sender.Incarnation;
-  }
+  const receiver_view &Seen = Heartbeat.Receiver;
+  if (Seen.Counted && Seen.Incarnation == Self.Incarnation)
+    CountedBy[Sender.Name] = {Sender.Incarnation, Heartbeat.MembersDigest};
 }
 
 void connection_share::refresh(const membership &Members) {
@@ -29,7 +26,7 @@
   dropDead(Members);
   time_point Now = Clock.now();
   if (!Grant.Settled && Now - JoinedAt >= Timing.JoinWait)
-    Grant.Settled = allCountSelf();
+    Grant.Settled = allCountSelf(Members.digest());
   Grant.Self = Members.self().Name;
   Grant.Others.clear();
   for (const auto &[Name, Sharer] : Sharers)
@@ -41,14 +38,11 @@
 
 void connection_share::onApplied(std::uint64_t Number) { Applied = Number; }
 
-void connection_share::markCounted(heartbeat &Heartbeat) const {
+bool connection_share::counts(const member_info &Member) const {
   bool WithinShare = Applied == Grant.Number;
-  for (member_info &Seen : Heartbeat.Members) {
-    auto Found = Sharers.find(Seen.Name);
-    Seen.Counted = WithinShare && Found != Sharers.end() &&
-                   !Found->second.DeadSince &&
-                   Found->second.Incarnation == Seen.Incarnation;
-  }
+  auto Found = Sharers.find(Member.Name);
+  return WithinShare && Found != Sharers.end() && !Found->second.DeadSince &&
+         Found->second.Incarnation == Member.Incarnation;
 }
 
 void connection_share::restartIfNew(const member_info &Self) {
@@ -90,10 +84,11 @@
   });
 }
 
-bool connection_share::allCountSelf() const {
+bool connection_share::allCountSelf(std::uint64_t MembersDigest) const {
   return std::all_of(Sharers.begin(), Sharers.end(), [&](const auto &Entry) {
     auto Found = CountedBy.find(Entry.first);
     return Found != CountedBy.end() &&
-           Found->second == Entry.second.Incarnation;
+           Found->second.Incarnation == Entry.second.Incarnation &&
+           Found->second.MembersDigest == MembersDigest;
   });
 }
--- a/packages/core/masticproxy/src/Cluster/connection_share.h
+++ b/packages/core/masticproxy/src/Cluster/connection_share.h
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Cluster/connection_grant.h"
 #include "masticproxy/src/Cluster/heartbeat.h"
+#include "masticproxy/src/Cluster/member_info.h"
 
 #include <cstdint>
 #include <map>
@@ -33,7 +34,8 @@
 /// The rule: a VM holds connections only while every VM that may hold some is
 /// among those it counts. So it counts a new member at once, drops a dead one
 /// late, and begins, or begins again, only when every member it knows has
-/// said that it counts it and is within its own, smaller share.
+/// said that it counts it, is within its own, smaller share and knows the same
+/// members.
 class connection_share {
 public:
   connection_share(const clock &Clock, share_timing Timing);
@@ -47,8 +49,8 @@
   /// Notes that no more connections are open than grant \p Number allows.
   void onApplied(std::uint64_t Number);
 
-  /// Marks the members that this VM counts and makes room for.
-  void markCounted(heartbeat &Heartbeat) const;
+  /// \returns whether this VM counts \p Member and makes room for it.
+  bool counts(const member_info &Member) const;
 
   /// \returns what this VM may hold.
   const connection_grant &grant() const { return Grant; }
@@ -63,13 +65,18 @@
   void restartIfNew(const member_info &Self);
   void countAlive(const membership &Members);
   void dropDead(const membership &Members);
-  bool allCountSelf() const;
+  bool allCountSelf(std::uint64_t MembersDigest) const;
 
   const clock &Clock;
   share_timing Timing;
   std::map<std::string, sharer> Sharers;
-  /// Incarnation of each peer that said it counts this VM's incarnation.
-  std::map<std::string, std::uint64_t> CountedBy;
+  /// What a peer that counts this VM's incarnation said last.
+  struct counting_peer {
+    std::uint64_t Incarnation = 0;
+    std::uint64_t MembersDigest = 0;
+  };
+
+  std::map<std::string, counting_peer> CountedBy;
   std::uint64_t OwnIncarnation = 0;
   time_point JoinedAt{};
   connection_grant Grant;
--- a/packages/core/masticproxy/src/Cluster/heartbeat.h
+++ b/packages/core/masticproxy/src/Cluster/heartbeat.h
@@ -3,18 +3,24 @@
 
 #include "masticproxy/src/Cluster/member_info.h"
 #include "masticproxy/src/Cluster/platform_contact.h"
+#include "masticproxy/src/Cluster/receiver_view.h"
 
 #include <cstdint>
 #include <vector>
 
 namespace masticproxy {
 
-/// \brief Sent to each peer of the data centre at a fixed interval.
+/// \brief Sent to the peers of the data centre at a fixed interval.
 struct heartbeat {
+  /// Without data centre and address in a short heartbeat, to a peer that has
+  /// said that it knows them.
   member_info Sender;
   std::uint64_t Sequence = 0;
-  /// What the sender sees of its peers; Alive and Leaving only where it hears
-  /// them itself.
+  receiver_view Receiver;
+  /// \sa membership::digest
+  std::uint64_t MembersDigest = 0;
+  /// Members that the sender hears itself, as Alive or Leaving, and members
+  /// that it asks about, as Suspect and without data centre and address.
   std::vector<member_info> Members;
   /// Highest platform revision whose configuration the sender holds.
   std::uint64_t ConfigurationRevision = 0;
--- a/packages/core/masticproxy/src/Cluster/member_info.h
+++ b/packages/core/masticproxy/src/Cluster/member_info.h
@@ -17,9 +17,6 @@
   /// Grows with each start of the process; a higher one replaces a lower one.
   std::uint64_t Incarnation = 0;
   member_state State = member_state::Alive;
-  /// In a heartbeat's list: whether the sender shares the upstreams'
-  /// connections with this VM and is within its own share.
-  bool Counted = false;
 
   bool operator==(const member_info &) const = default;
 };
--- a/packages/core/tests/control_fleet.h
+++ b/packages/core/tests/control_fleet.h
@@ -49,6 +49,7 @@
   bool GrowsAtOnce = false;
   bool HoldsThroughPauses = false;
   bool BelievesHearsay = false;
+  bool ForgetsQuestions = false;
 };
 
 /// \brief The platform as the fleet sees it.
@@ -147,7 +148,9 @@
   void deliver();
   void receive(const std::string &Name, const peer_message &Message);
   void takeIn(fleet_vm &Vm, configuration_push Push);
+  void breakRules(const fleet_vm &Vm, heartbeat &Heartbeat) const;
   void beat(const std::string &Name, fleet_vm &Vm);
+  static void addState(const fleet_vm &Vm, heartbeat &Heartbeat);
   void watch(const std::string &Name, fleet_vm &Vm);
   void holdConnections(fleet_vm &Vm);
   unsigned dice(unsigned Sides) { return Random() % Sides; }
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -16,13 +16,16 @@
 namespace {
 
 /// Heartbeat intervals in which a new member hears those who know of it.
-constexpr unsigned JoinBeats = 2;
+constexpr unsigned JoinBeats = 4;
 
 /// Multiples of peers.dead_after: until a dead member is forgotten, and until
 /// the silence of most members together is believed.
 constexpr unsigned ForgetFactor = 20;
 constexpr unsigned MajorityFactor = 10;
 
+/// Of the intervals, one in so many brings a heartbeat to other data centres.
+constexpr std::uint64_t RemoteBeatEvery = 2;
+
 /// Heartbeats after which other VMs of the other data centres are told.
 constexpr std::uint64_t BeatsInLinkRound = 10;
 
@@ -72,14 +75,15 @@
 void control_duty::beat() {
   Members.tick();
   decide();
-  heartbeat Heartbeat = makeHeartbeat();
-  sendToPeers(Heartbeat);
-  beatToOtherDataCentres(std::move(Heartbeat));
+  for (const member_info &Peer : Members.receivers())
+    sendHeartbeat(Peer);
+  beatToOtherDataCentres();
 }
 
 void control_duty::leave() {
   Members.leave();
-  sendToPeers(makeHeartbeat());
+  for (const member_info &Peer : Members.peers())
+    sendHeartbeat(Peer);
   decide();
 }
 
@@ -98,21 +102,26 @@
   Links.Follow(Watching, Sync.table().revision());
 }
 
-heartbeat control_duty::makeHeartbeat() {
-  heartbeat Heartbeat = Members.makeHeartbeat();
-  Share.markCounted(Heartbeat);
+void control_duty::sendHeartbeat(const member_info &Peer) {
+  heartbeat Heartbeat = Members.makeHeartbeat(Peer);
+  Heartbeat.Receiver.Counted = Share.counts(Peer);
+  addState(Heartbeat);
+  send(Peer.PeerAddress, std::move(Heartbeat));
+}
+
+void control_duty::addState(heartbeat &Heartbeat) const {
   Heartbeat.ConfigurationRevision = Sync.table().revision();
   Heartbeat.ConfigurationDigest = Sync.table().digest();
   Heartbeat.Platform = contact();
-  return Heartbeat;
 }
 
-void control_duty::beatToOtherDataCentres(heartbeat Heartbeat) {
+void control_duty::beatToOtherDataCentres() {
   ++Beats;
-  if (!Watching)
+  if (!Watching || Beats % RemoteBeatEvery != 0)
     return;
   // Members are a data centre's own matter.
-  Heartbeat.Members.clear();
+  heartbeat Heartbeat = Members.makeRemoteHeartbeat();
+  addState(Heartbeat);
   for (const member_info &Vm :
        chooseLinks(Links.Settings.DataCentre, Members.remoteMembers(),
                    Beats / BeatsInLinkRound))
@@ -151,7 +160,11 @@
 
 void control_duty::on(const configuration_push &Push) { takeIn(Push); }
 
-void control_duty::on(const heartbeat &Heartbeat) {
+void control_duty::on(heartbeat Heartbeat) {
+  if (!Members.complete(Heartbeat)) {
+    Links.Counters.get("heartbeats_of_unknown_total").add();
+    return;
+  }
   const member_info &Sender = Heartbeat.Sender;
   Members.onHeartbeat(Heartbeat);
   Share.onHeartbeat(Heartbeat, Members.self());
--- a/packages/wire/masticproxy/src/Wire/peer_codec.cpp
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.cpp
@@ -13,11 +13,18 @@
   return Text ? Text->str() : std::string();
 }
 
+/// An empty text takes no bytes.
+Offset<flatbuffers::String> packText(FlatBufferBuilder &Out,
+                                     const std::string &Text) {
+  return Text.empty() ? Offset<flatbuffers::String>() : Out.CreateString(Text);
+}
+
 Offset<wire::Member> packMember(FlatBufferBuilder &Out, const member_info &M) {
-  return wire::CreateMember(Out, Out.CreateString(M.Name),
-                            Out.CreateString(M.DataCentre),
-                            Out.CreateString(M.PeerAddress), M.Incarnation,
-                            static_cast<std::uint8_t>(M.State), M.Counted);
+  auto Name = Out.CreateString(M.Name);
+  auto DataCentre = packText(Out, M.DataCentre);
+  auto PeerAddress = packText(Out, M.PeerAddress);
+  return wire::CreateMember(Out, Name, DataCentre, PeerAddress, M.Incarnation,
+                            static_cast<std::uint8_t>(M.State));
 }
 
 member_info unpackMember(const wire::Member &M) {
@@ -27,7 +34,6 @@
   Info.PeerAddress = text(M.peer_address());
   Info.Incarnation = M.incarnation();
   Info.State = static_cast<member_state>(M.state());
-  Info.Counted = M.counted();
   return Info;
 }
 
@@ -45,10 +51,14 @@
     for (const member_info &Member : M.Members)
       Members.push_back(packMember(Out, Member));
     auto Sender = packMember(Out, M.Sender);
+    Offset<flatbuffers::Vector<Offset<wire::Member>>> List;
+    if (!Members.empty())
+      List = Out.CreateVector(Members);
     auto Packed = wire::CreateHeartbeat(
-        Out, Sender, M.Sequence, Out.CreateVector(Members),
-        M.ConfigurationRevision, M.ConfigurationDigest,
-        static_cast<std::uint8_t>(M.Platform));
+        Out, Sender, M.Sequence, List, M.ConfigurationRevision,
+        M.ConfigurationDigest, static_cast<std::uint8_t>(M.Platform),
+        M.Receiver.Incarnation, static_cast<std::uint8_t>(M.Receiver.State),
+        M.Receiver.Counted, M.MembersDigest);
     return {wire::PeerBody::Heartbeat, Packed.Union()};
   }
 
@@ -86,8 +96,12 @@
   Result.ConfigurationRevision = M.configuration_revision();
   Result.ConfigurationDigest = M.configuration_digest();
   Result.Platform = static_cast<platform_contact>(M.platform());
-  bool Valid =
-      isKnown(Result.Sender.State) && Result.Platform <= platform_contact::Lost;
+  Result.MembersDigest = M.members_digest();
+  Result.Receiver.Incarnation = M.receiver_incarnation();
+  Result.Receiver.State = static_cast<member_state>(M.receiver_state());
+  Result.Receiver.Counted = M.receiver_counted();
+  bool Valid = isKnown(Result.Sender.State) && isKnown(Result.Receiver.State) &&
+               Result.Platform <= platform_contact::Lost;
   if (M.members())
     for (const wire::Member *Member : *M.members()) {
       Result.Members.push_back(unpackMember(*Member));
