Let the fleet of the control tests read the platform's list again

Two VMs that started while each missed the other in the list, with one-way cuts from all that knew both, never heard of each other: each held all 65 connections.

Ruled out: a fault of membership. The daemon reads the list every 30 s, also a VM that does not watch; the fleet gave it at the start only, so its world was one that the product does not run in. With the list every 30 s the VM that is not heard learns of that before its peer grows, which waits 60 s where most are silent.

Change: the fleet lists every 30 s. A failure prints the schedule and what each VM holds and sees.

--- a/packages/core/tests/control_fleet.cpp
+++ b/packages/core/tests/control_fleet.cpp
@@ -1,5 +1,7 @@
 #include "control_fleet.h"
 
+#include <sstream>
+
 using namespace masticproxy;
 
 namespace {
@@ -13,6 +15,7 @@
 constexpr std::uint64_t BeatSteps = BeatInterval / FleetStep;
 constexpr std::uint64_t RemoteBeatSteps = 2 * BeatSteps;
 constexpr std::uint64_t LinkSteps = 10 * BeatSteps;
+constexpr std::uint64_t ListSteps = std::chrono::seconds(30) / FleetStep;
 constexpr unsigned LongestDelaySteps = 2;
 
 share_timing shareTiming(bool GrowsAtOnce) {
@@ -41,15 +44,23 @@
           .count());
   Vms[Name] =
       std::make_unique<fleet_vm>(Clock, Self, Ahead, Faults.GrowsAtOnce);
+  Vms[Name]->NextListing = Steps;
+  list(*Vms[Name]);
+}
+
+void control_fleet::list(fleet_vm &Vm) {
+  bool Reached =
+      !Platform.Down && !WithoutPlatform.contains(Vm.Members.self().DataCentre);
+  if (Steps < Vm.NextListing || !Reached)
+    return;
+  Vm.NextListing = Steps + ListSteps;
   std::vector<member_info> Listed;
-  for (const auto &[Other, Vm] : Vms) {
-    member_info Info = Vm->Members.self();
+  for (const auto &[Other, OtherVm] : Vms) {
+    member_info Info = OtherVm->Members.self();
     Info.Incarnation = 0;
     Listed.push_back(Info);
   }
-  if (Platform.Down || WithoutPlatform.contains(DataCentre))
-    return;
-  Vms[Name]->Members.onListed(Listed);
+  Vm.Members.onListed(Listed);
 }
 
 void control_fleet::pause(const std::string &Name) {
@@ -77,6 +88,7 @@
     if (Vm->Paused)
       continue;
     Vm->Members.tick();
+    list(*Vm);
     Vm->Share.refresh(Vm->Members);
     watch(Name, *Vm);
     if (Steps % BeatSteps == 0)
@@ -108,6 +120,23 @@
   return Sum;
 }
 
+std::string control_fleet::describe() const {
+  constexpr const char *States[] = {"alive", "suspect", "leaving", "dead"};
+  std::ostringstream Text;
+  for (const auto &[Name, Vm] : Vms) {
+    Text << "\n"
+         << Name << (Vm->Paused ? " paused" : "") << " holds " << Vm->Held
+         << (Vm->Share.grant().Settled ? " settled" : " joining") << " among";
+    for (const std::string &Other : Vm->Share.grant().Others)
+      Text << " " << Other;
+    Text << "; sees";
+    for (const member_info &Peer : Vm->Members.peers())
+      Text << " " << Peer.Name << ":"
+           << States[static_cast<std::size_t>(Peer.State)];
+  }
+  return Text.str();
+}
+
 bool control_fleet::allLevel() const {
   for (const auto &[Name, Vm] : Vms) {
     if (Vm->Sync.table().revision() != Platform.Revision)
--- a/packages/core/tests/control_fleet.h
+++ b/packages/core/tests/control_fleet.h
@@ -91,6 +91,8 @@
   bool Watching = false;
   bool Reached = false;
   bool Paused = false;
+  /// Step at which it reads the platform's list of VMs again.
+  std::uint64_t NextListing = 0;
 };
 
 /// \brief Many VMs' control decisions in one process, with a lossy network.
@@ -128,6 +130,10 @@
   unsigned heldByRunning() const;
   unsigned heldByAll() const;
 
+  /// \returns what each VM holds and thinks of the others, for a test's
+  /// message.
+  std::string describe() const;
+
   /// \returns whether each VM that runs holds what the platform holds.
   bool allLevel() const;
   /// \returns whether each VM sees just those of its data centre that run.
@@ -143,6 +149,7 @@
     peer_message Message;
   };
 
+  void list(fleet_vm &Vm);
   void send(const std::string &From, const std::string &To,
             const peer_message &Message);
   void deliver();
--- a/packages/core/tests/control_fleet_test.cpp
+++ b/packages/core/tests/control_fleet_test.cpp
@@ -209,7 +209,8 @@
     bool Within = holdsThroughout(Fleet, schedule(NoSplit), [&] {
       return Fleet.heldByRunning() <= Fleet.Limit;
     });
-    RC_ASSERT(Within);
+    if (!Within)
+      RC_FAIL(Fleet.describe());
   });
 }
 
