--- a/packages/ctl/masticproxy/src/Ctl/vm_reports.h
+++ b/packages/ctl/masticproxy/src/Ctl/vm_reports.h
@@ -17,7 +17,8 @@
   std::string Text;
 };
 
-/// Asks every VM of \p Options for \p Target. \throws ctl_error where none is
+/// Asks every VM of \p Options for \p Target, all at the same time, and gives
+/// the reports in the order of the VMs. \throws ctl_error where none is
 /// named.
 std::vector<vm_report> askVms(const ctl_options &Options,
                               std::string_view Target);
