Stamp control frames with the sender's hybrid time

Cause: only relayed attempts carried the time line's stamps; a configuration's arrival on a VM with a slow clock stood before its departure.

Ruled out: stamps on pushes only; a heartbeat causes events too (a member's death, a pull).

Change: every control frame carries 16 bytes of hybrid time; the receiver's clock learns it. heartbeat_size_test counts them.

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -78,7 +78,7 @@
       Heartbeat.Receiver.Counted = true;
       Heartbeat.ConfigurationRevision = Peer.Incarnation;
       Heartbeat.ConfigurationDigest = ~Peer.Incarnation;
-      Payloads.push_back(encodePeerMessage(peer_message(Heartbeat)));
+      Payloads.push_back(encodePeerMessage(peer_message(Heartbeat), {}));
       Bytes += makeFrame(Payloads.back()).size();
     }
   member_info Peer = Members.peers().front();
@@ -90,9 +90,9 @@
       {"frame_bytes",
        static_cast<double>(Bytes) / static_cast<double>(Payloads.size())},
       {"encode_ns", nanoseconds([&] {
-         encodePeerMessage(peer_message(Members.makeHeartbeat(Peer)));
+         encodePeerMessage(peer_message(Members.makeHeartbeat(Peer)), {});
        })},
-      {"decode_ns", nanoseconds([&] { decodePeerMessage(Payloads.front()); })}};
+      {"decode_ns", nanoseconds([&] { decodePeerFrame(Payloads.front()); })}};
 }
 
 std::string makeMapText(std::size_t ShardCount) {
--- a/fuzz/fuzz_frame.cpp
+++ b/fuzz/fuzz_frame.cpp
@@ -11,12 +11,13 @@
 
 /// A message that was decoded must survive being encoded again.
 void checkMessage(std::string_view Payload) {
-  auto Decoded = decodePeerMessage(Payload);
-  auto *Message = std::get_if<peer_message>(&Decoded);
-  if (!Message)
+  auto Decoded = decodePeerFrame(Payload);
+  auto *Frame = std::get_if<peer_frame>(&Decoded);
+  if (!Frame)
     return;
-  auto Again = decodePeerMessage(encodePeerMessage(*Message));
-  if (std::get<peer_message>(Again) != *Message)
+  auto Again = decodePeerFrame(encodePeerMessage(Frame->Message, Frame->Stamp));
+  const auto &Same = std::get<peer_frame>(Again);
+  if (Same.Message != Frame->Message || !(Same.Stamp == Frame->Stamp))
     std::abort();
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -54,7 +54,7 @@
         Upstreams(Clock, Counters, Grant),
         Callers(Settings, Clock, Counters, Events, Status),
         Relay(Clock, Timeline, Counters, Events, Settings.Name, Incarnation),
-        Peers(Settings.PeersAddress, Counters),
+        Peers(Settings.PeersAddress, Timeline, Counters),
         PlatformDuty(Platform, Clock, Settings.PlatformWatchWait, Counters),
         Claims(Platform, Clock, processName(), {}, Counters),
         FromPlatform(ControlRingCapacity, [this] { wakeControl(); }),
--- a/packages/daemon/masticproxy/src/Daemon/peer_receiver.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/peer_receiver.cpp
@@ -10,7 +10,7 @@
 
 peer_receiver::peer_receiver(boost::asio::ip::tcp::socket Socket,
                              counter_registry &Counters,
-                             std::function<void(const peer_message &)> Receive,
+                             std::function<void(const peer_frame &)> Receive,
                              relay_handover HandOver)
     : Socket(std::move(Socket)), Counters(Counters),
       Receive(std::move(Receive)), HandOver(std::move(HandOver)) {}
@@ -40,12 +40,12 @@
       reject(*Error);
       return false;
     }
-    auto Message = decodePeerMessage(std::get<std::string>(*Frame));
-    if (auto *Error = std::get_if<frame_error>(&Message)) {
+    auto Decoded = decodePeerFrame(std::get<std::string>(*Frame));
+    if (auto *Error = std::get_if<frame_error>(&Decoded)) {
       reject(*Error);
       return false;
     }
-    Receive(std::get<peer_message>(Message));
+    Receive(std::get<peer_frame>(Decoded));
   }
   return true;
 }
--- a/packages/daemon/masticproxy/src/Daemon/peer_receiver.h
+++ b/packages/daemon/masticproxy/src/Daemon/peer_receiver.h
@@ -1,8 +1,8 @@
 #ifndef MASTICPROXY_DAEMON_PEER_RECEIVER_H
 #define MASTICPROXY_DAEMON_PEER_RECEIVER_H
 
-#include "masticproxy/src/Cluster/peer_message.h"
 #include "masticproxy/src/Wire/frame_reader.h"
+#include "masticproxy/src/Wire/peer_frame.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -26,7 +26,7 @@
 class peer_receiver : public std::enable_shared_from_this<peer_receiver> {
 public:
   peer_receiver(boost::asio::ip::tcp::socket Socket, counter_registry &Counters,
-                std::function<void(const peer_message &)> Receive,
+                std::function<void(const peer_frame &)> Receive,
                 relay_handover HandOver);
 
   /// Starts to read frames.
@@ -39,7 +39,7 @@
 
   boost::asio::ip::tcp::socket Socket;
   counter_registry &Counters;
-  std::function<void(const peer_message &)> Receive;
+  std::function<void(const peer_frame &)> Receive;
   relay_handover HandOver;
   frame_reader Reader;
   std::array<char, 16384> Chunk{};
--- a/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Daemon/peer_receiver.h"
 #include "masticproxy/src/Daemon/peer_sender.h"
 #include "masticproxy/src/Daemon/relay_thread.h"
+#include "masticproxy/src/Net/hybrid_clock.h"
 #include "masticproxy/src/Net/tcp_address.h"
 #include "masticproxy/src/Settings/address_text.h"
 #include "masticproxy/src/Wire/frame_reader.h"
@@ -14,9 +15,10 @@
 using namespace masticproxy;
 using boost::asio::ip::tcp;
 
-peers_thread::peers_thread(std::string Address, counter_registry &Counters)
-    : Address(std::move(Address)), Counters(Counters), Acceptor(Loop.context()),
-      Outbox(ControlRingCapacity, [this] {
+peers_thread::peers_thread(std::string Address, hybrid_clock &Timeline,
+                           counter_registry &Counters)
+    : Address(std::move(Address)), Timeline(Timeline), Counters(Counters),
+      Acceptor(Loop.context()), Outbox(ControlRingCapacity, [this] {
         Loop.post([this] {
           Outbox.drain([this](const send_to_peer &Command) { send(Command); });
         });
@@ -49,7 +51,7 @@
         if (!Error)
           std::make_shared<internal::peer_receiver>(
               std::move(Socket), Counters,
-              [this](const peer_message &Message) { receive(Message); },
+              [this](const peer_frame &Frame) { receive(Frame); },
               [this](tcp::socket Relayed, std::string Early) {
                 Relay->adopt(std::move(Relayed), std::move(Early));
               })
@@ -69,12 +71,15 @@
   if (!Sender)
     Sender = std::make_shared<internal::peer_sender>(
         Loop.context(), Command.PeerAddress, Counters);
-  Sender->send(makeFrame(encodePeerMessage(*Command.Message)));
+  hybrid_time Now = Timeline.tick();
+  Sender->send(makeFrame(
+      encodePeerMessage(*Command.Message, {Now.Microseconds, Now.Counter})));
 }
 
-void peers_thread::receive(const peer_message &Message) {
+void peers_thread::receive(const peer_frame &Frame) {
+  Timeline.receive({Frame.Stamp.Microseconds, Frame.Stamp.Counter});
   Counters.get("peer_messages_received_total").add();
   // Every message is sent again in some later form, so a full ring drops it.
-  if (!Control->push(Message))
+  if (!Control->push(Frame.Message))
     Counters.get("peer_messages_dropped_total").add();
 }
--- a/packages/daemon/masticproxy/src/Daemon/peers_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/peers_thread.h
@@ -13,7 +13,9 @@
 namespace masticproxy {
 
 class counter_registry;
+class hybrid_clock;
 class relay_thread;
+struct peer_frame;
 
 namespace internal {
 class peer_receiver;
@@ -26,7 +28,9 @@
 /// peers say from the connections that they open.
 class peers_thread {
 public:
-  peers_thread(std::string Address, counter_registry &Counters);
+  /// Frames carry the time of \p Timeline, which learns that of its peers.
+  peers_thread(std::string Address, hybrid_clock &Timeline,
+               counter_registry &Counters);
   ~peers_thread();
 
   /// Sets the ring that received messages go to; before start().
@@ -45,9 +49,10 @@
 private:
   void accept();
   void send(const send_to_peer &Command);
-  void receive(const peer_message &Message);
+  void receive(const peer_frame &Frame);
 
   std::string Address;
+  hybrid_clock &Timeline;
   counter_registry &Counters;
   loop_thread Loop;
   boost::asio::ip::tcp::acceptor Acceptor;
--- a/packages/testing/tests/bad_input_test.cpp
+++ b/packages/testing/tests/bad_input_test.cpp
@@ -96,7 +96,8 @@
   test_cluster Cluster({.FirstPort = 25400, .VmDataCentres = {"dc1"}});
   Cluster.startVm(0);
   cr_assert(Cluster.waitUntil([&] { return healthy(Cluster); }));
-  std::string Frame = makeFrame(encodePeerMessage(configuration_pull{7, "a"}));
+  std::string Frame =
+      makeFrame(encodePeerMessage(configuration_pull{7, "a"}, {}));
   std::string Foreign = Frame;
   Foreign[4] = 99;
   std::string Changed = Frame;
--- a/packages/testing/tests/relay_test.cpp
+++ b/packages/testing/tests/relay_test.cpp
@@ -27,8 +27,14 @@
   std::string Code = "none";
   unsigned Answered = 0;
   milliseconds Took{0};
+  std::string Body;
 };
 
+std::string describe(const timed_answer &Answer) {
+  return Answer.Code + " after " + std::to_string(Answer.Took.count()) +
+         " ms: " + Answer.Body;
+}
+
 timed_answer ask(test_cluster &Cluster, const std::string &Profile,
                  const std::string &RequestId = "") {
   timed_answer Answer;
@@ -38,6 +44,7 @@
       std::chrono::steady_clock::now() - Start);
   if (!Response)
     return Answer;
+  Answer.Body = Response->Body;
   auto Root = nlohmann::json::parse(Response->Body);
   Answer.Code = Root.value("code", "none");
   if (Root.contains("coverage"))
@@ -159,10 +166,12 @@
   }));
   Cluster.vm(1).signal(SIGSTOP);
   timed_answer Answer = ask(Cluster, "half");
-  cr_assert(Answer.Code == "answered" && Answer.Answered == 2);
+  cr_assert(Answer.Code == "answered" && Answer.Answered == 2, "%s",
+            describe(Answer).c_str());
   cr_assert(Answer.Took < milliseconds(1300));
   Answer = ask(Cluster, "whole");
-  cr_assert(Answer.Code == "too_late" && Answer.Answered == 2);
+  cr_assert(Answer.Code == "too_late" && Answer.Answered == 2, "%s",
+            describe(Answer).c_str());
   cr_assert(Answer.Took < milliseconds(2300));
   cr_assert(ask(Cluster, "once", onceId()).Code == "outcome_unknown");
   Cluster.vm(1).signal(SIGCONT);
--- a/packages/wire/masticproxy/src/Wire/peer_codec.cpp
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.cpp
@@ -140,34 +140,48 @@
                                     std::chrono::milliseconds(M.age_ms())});
 }
 
+std::variant<peer_message, frame_error>
+unpackBody(const wire::PeerEnvelope &Envelope) {
+  switch (Envelope.body_type()) {
+  case wire::PeerBody::Heartbeat:
+    return unpack(*Envelope.body_as_Heartbeat());
+  case wire::PeerBody::ConfigurationPush:
+    return unpack(*Envelope.body_as_ConfigurationPush());
+  case wire::PeerBody::ConfigurationPull:
+    return unpack(*Envelope.body_as_ConfigurationPull());
+  case wire::PeerBody::PoisonNotice:
+    return unpack(*Envelope.body_as_PoisonNotice());
+  case wire::PeerBody::NONE:
+    break;
+  }
+  return frame_error::Malformed;
+}
+
 } // namespace
 
-std::string masticproxy::encodePeerMessage(const peer_message &Message) {
+std::string masticproxy::encodePeerMessage(const peer_message &Message,
+                                           const frame_stamp &Stamp) {
   FlatBufferBuilder Out;
   auto [Type, Body] = std::visit(packer{Out}, Message);
-  Out.Finish(wire::CreatePeerEnvelope(Out, Type, Body));
+  wire::Stamp Packed(Stamp.Microseconds, Stamp.Counter);
+  Out.Finish(wire::CreatePeerEnvelope(Out, Type, Body, &Packed));
   return std::string(reinterpret_cast<const char *>(Out.GetBufferPointer()),
                      Out.GetSize());
 }
 
-std::variant<peer_message, frame_error>
-masticproxy::decodePeerMessage(std::string_view Payload) {
+std::variant<peer_frame, frame_error>
+masticproxy::decodePeerFrame(std::string_view Payload) {
   const auto *Bytes = reinterpret_cast<const std::uint8_t *>(Payload.data());
   flatbuffers::Verifier Verifier(Bytes, Payload.size());
   if (!wire::VerifyPeerEnvelopeBuffer(Verifier))
     return frame_error::Malformed;
   const wire::PeerEnvelope *Envelope = wire::GetPeerEnvelope(Bytes);
-  switch (Envelope->body_type()) {
-  case wire::PeerBody::Heartbeat:
-    return unpack(*Envelope->body_as_Heartbeat());
-  case wire::PeerBody::ConfigurationPush:
-    return unpack(*Envelope->body_as_ConfigurationPush());
-  case wire::PeerBody::ConfigurationPull:
-    return unpack(*Envelope->body_as_ConfigurationPull());
-  case wire::PeerBody::PoisonNotice:
-    return unpack(*Envelope->body_as_PoisonNotice());
-  case wire::PeerBody::NONE:
-    break;
-  }
-  return frame_error::Malformed;
+  std::variant<peer_message, frame_error> Body = unpackBody(*Envelope);
+  if (auto *Error = std::get_if<frame_error>(&Body))
+    return *Error;
+  peer_frame Frame;
+  Frame.Message = std::move(std::get<peer_message>(Body));
+  if (const wire::Stamp *Stamp = Envelope->stamp())
+    Frame.Stamp = {Stamp->microseconds(), Stamp->counter()};
+  return Frame;
 }
--- a/packages/wire/masticproxy/src/Wire/peer_codec.h
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.h
@@ -1,8 +1,8 @@
 #ifndef MASTICPROXY_WIRE_PEER_CODEC_H
 #define MASTICPROXY_WIRE_PEER_CODEC_H
 
-#include "masticproxy/src/Cluster/peer_message.h"
 #include "masticproxy/src/Wire/frame_error.h"
+#include "masticproxy/src/Wire/peer_frame.h"
 
 #include <string>
 #include <string_view>
@@ -10,13 +10,13 @@
 
 namespace masticproxy {
 
-/// \returns \p Message as the payload of a frame.
+/// \returns \p Message, stamped with \p Stamp, as the payload of a frame.
 /// \sa makeFrame
-std::string encodePeerMessage(const peer_message &Message);
+std::string encodePeerMessage(const peer_message &Message,
+                              const frame_stamp &Stamp);
 
-/// \returns the message in \p Payload, or frame_error::Malformed.
-std::variant<peer_message, frame_error>
-decodePeerMessage(std::string_view Payload);
+/// \returns the frame in \p Payload, or frame_error::Malformed.
+std::variant<peer_frame, frame_error> decodePeerFrame(std::string_view Payload);
 
 } // namespace masticproxy
 
--- a/packages/wire/tests/frame_test.cpp
+++ b/packages/wire/tests/frame_test.cpp
@@ -76,7 +76,9 @@
 Test(frames, carry_any_message_in_any_pieces) {
   cr_assert(rc::check([] {
     peer_message Message = anyMessage();
-    std::string Frame = makeFrame(encodePeerMessage(Message));
+    frame_stamp Stamp{*rc::gen::arbitrary<std::int64_t>(),
+                      *rc::gen::arbitrary<std::uint32_t>()};
+    std::string Frame = makeFrame(encodePeerMessage(Message, Stamp));
     frame_reader Reader;
     std::size_t Cut = *rc::gen::inRange<std::size_t>(0, Frame.size());
     Reader.append(std::string_view(Frame).substr(0, Cut));
@@ -84,13 +86,15 @@
     Reader.append(std::string_view(Frame).substr(Cut));
     auto Payload = Reader.next();
     RC_ASSERT(Payload && std::holds_alternative<std::string>(*Payload));
-    auto Decoded = decodePeerMessage(std::get<std::string>(*Payload));
-    RC_ASSERT(std::get<peer_message>(Decoded) == Message);
+    auto Decoded = decodePeerFrame(std::get<std::string>(*Payload));
+    RC_ASSERT(std::get<peer_frame>(Decoded).Message == Message);
+    RC_ASSERT(std::get<peer_frame>(Decoded).Stamp == Stamp);
   }));
 }
 
 Test(frames, refuse_a_changed_payload) {
-  std::string Frame = makeFrame(encodePeerMessage(configuration_pull{7, "a"}));
+  std::string Frame =
+      makeFrame(encodePeerMessage(configuration_pull{7, "a"}, {}));
   Frame.back() = static_cast<char>(Frame.back() ^ 1);
   frame_reader Reader;
   Reader.append(Frame);
@@ -116,7 +120,7 @@
 Test(frames, refuse_any_bytes_that_are_no_message_without_harm) {
   cr_assert(rc::check([] {
     auto Bytes = *rc::gen::arbitrary<std::string>();
-    auto Decoded = decodePeerMessage(Bytes);
+    auto Decoded = decodePeerFrame(Bytes);
     if (auto *Error = std::get_if<frame_error>(&Decoded))
       RC_ASSERT(*Error == frame_error::Malformed);
   }));
--- a/packages/wire/tests/heartbeat_size_test.cpp
+++ b/packages/wire/tests/heartbeat_size_test.cpp
@@ -58,7 +58,7 @@
       Heartbeat.ConfigurationDigest = ~I;
       Bytes += HeaderBytes;
       Bytes += static_cast<double>(
-          makeFrame(encodePeerMessage(peer_message(Heartbeat))).size());
+          makeFrame(encodePeerMessage(peer_message(Heartbeat), {1, 1})).size());
     }
   return Bytes / Intervals * IntervalsPerSecond;
 }
