Wait in the tests until a stopped process has stopped

Cause: process_relay_test failed at times on a busy machine: the VM of the other data centre answered after SIGSTOP. The answer that the test now prints shows all four shards after 6 ms. The stop takes effect thread by thread; threads that run go on until the one that takes the signal gets its turn.

Ruled out: admission, refusing because of slow answers before (the code was answered); a wrong coverage (all four were there).

Change: child_process::signal waits for the stop by waitid, without reaping.

--- a/packages/testing/masticproxy/src/Harness/child_process.cpp
+++ b/packages/testing/masticproxy/src/Harness/child_process.cpp
@@ -61,8 +61,14 @@
 }
 
 void child_process::signal(int Number) const {
-  if (!ExitCode)
-    kill(Pid, Number);
+  if (ExitCode)
+    return;
+  kill(Pid, Number);
+  if (Number != SIGSTOP)
+    return;
+  // Until the last thread has stopped, the others go on for a while.
+  siginfo_t Info{};
+  waitid(P_PID, static_cast<id_t>(Pid), &Info, WSTOPPED | WEXITED | WNOWAIT);
 }
 
 std::optional<int> child_process::waitForExit(std::chrono::milliseconds Wait) {
--- a/packages/testing/masticproxy/src/Harness/child_process.h
+++ b/packages/testing/masticproxy/src/Harness/child_process.h
@@ -23,7 +23,8 @@
   child_process(const child_process &) = delete;
   child_process &operator=(const child_process &) = delete;
 
-  /// Sends a signal, such as SIGTERM or SIGSTOP.
+  /// Sends a signal, such as SIGTERM; after SIGSTOP the whole process has
+  /// stopped.
   void signal(int Number) const;
 
   /// Waits up to \p Wait for the end. \returns the exit code, 128 + the signal
