--- a/cmake/masticproxy_package.cmake
+++ b/cmake/masticproxy_package.cmake
@@ -23,22 +23,37 @@
 
 # masticproxy_test(name sources... [LINK libs...]): one Criterion program,
 # run by CTest with RapidCheck's seed fixed. What fails is not made smaller
-# there, which takes minutes; the program run by hand does it.
+# there, which takes minutes; the program run by hand does it. CASES is the
+# number of cases of each property, SEED another seed, FILTER a pattern of the
+# Criterion tests to run; PROGRAM names a program that another test built.
 function(masticproxy_test NAME)
-  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;LINK;LABELS" ${ARGN})
-  add_executable(${NAME} ${ARG_SOURCES})
-  target_link_libraries(${NAME} PRIVATE ${ARG_LINK} PkgConfig::CRITERION rapidcheck)
-  target_include_directories(${NAME} SYSTEM PRIVATE
-    $<TARGET_PROPERTY:rapidcheck,INTERFACE_INCLUDE_DIRECTORIES>)
+  cmake_parse_arguments(ARG "" "TIMEOUT;CASES;SEED;FILTER;PROGRAM"
+    "SOURCES;LINK;LABELS" ${ARGN})
+  if(NOT ARG_PROGRAM)
+    set(ARG_PROGRAM ${NAME})
+    add_executable(${NAME} ${ARG_SOURCES})
+    target_link_libraries(${NAME} PRIVATE ${ARG_LINK} PkgConfig::CRITERION rapidcheck)
+    target_include_directories(${NAME} SYSTEM PRIVATE
+      $<TARGET_PROPERTY:rapidcheck,INTERFACE_INCLUDE_DIRECTORIES>)
+  endif()
+  if(NOT ARG_CASES)
+    set(ARG_CASES 100)
+  endif()
+  if(NOT ARG_SEED)
+    set(ARG_SEED 20261204)
+  endif()
+  if(ARG_FILTER)
+    set(FILTER --filter ${ARG_FILTER})
+  endif()
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
   if(NOT ARG_LABELS)
     set(ARG_LABELS unit)
   endif()
-  add_test(NAME ${NAME} COMMAND ${NAME})
+  add_test(NAME ${NAME} COMMAND ${ARG_PROGRAM} ${FILTER})
   set_tests_properties(${NAME} PROPERTIES
-    ENVIRONMENT "RC_PARAMS=seed=20261204 noshrink=1;MASTICPROXY_BIN=${CMAKE_BINARY_DIR}/bin;MASTICPROXY_SOURCE=${CMAKE_SOURCE_DIR}"
+    ENVIRONMENT "RC_PARAMS=seed=${ARG_SEED} noshrink=1 max_success=${ARG_CASES};MASTICPROXY_BIN=${CMAKE_BINARY_DIR}/bin;MASTICPROXY_SOURCE=${CMAKE_SOURCE_DIR}"
     TIMEOUT ${ARG_TIMEOUT} LABELS "${ARG_LABELS}")
 endfunction()
 
--- a/packages/core/tests/admission_test.cpp
+++ b/packages/core/tests/admission_test.cpp
@@ -60,6 +60,12 @@
   int InTime = 0;
 };
 
+/// A request that the server has not ended yet.
+struct queued_request {
+  time_point Start;
+  bool IsCounted = false;
+};
+
 /// Requests sent before counting starts: an overload is only seen once its
 /// first requests have waited.
 constexpr int WarmUp = 4000;
@@ -77,32 +83,37 @@
   profile Profile{"p", Wait, 1.0, true};
   manual_clock Clock;
   auto Gap = std::chrono::duration_cast<duration>(Service / Rate);
-  std::deque<time_point> Queue;
+  std::deque<queued_request> Queue;
   time_point FreeAt = Clock.now();
   server_result Result;
-  for (int I = 0; I < WarmUp + Counted; ++I) {
-    Clock.advance(Gap);
+  auto WorkOff = [&](time_point Until) {
     while (!Queue.empty()) {
-      time_point Start = Queue.front();
+      auto [Start, IsCounted] = Queue.front();
       time_point End = std::max(Start, FreeAt) + Service;
       bool InTime = End <= Start + Wait;
       time_point Over = InTime ? End : Start + Wait;
-      if (Over > Clock.now())
-        break;
+      if (Over > Until)
+        return;
       Queue.pop_front();
       // One that can't begin before its deadline is not run; one that ends
       // late takes its slot all the same.
       if (std::max(Start, FreeAt) < Start + Wait)
         FreeAt = End;
       Admission.finished(Profile, Start, InTime, Over);
-      Result.InTime += InTime && I >= WarmUp ? 1 : 0;
+      Result.InTime += InTime && IsCounted ? 1 : 0;
     }
+  };
+  for (int I = 0; I < WarmUp + Counted; ++I) {
+    Clock.advance(Gap);
+    WorkOff(Clock.now());
     bool Taken = Admit(Admission, Profile);
     Result.Taken += Taken && I >= WarmUp ? 1 : 0;
     Result.Refused += Taken ? 0 : 1;
     if (Taken)
-      Queue.push_back(Clock.now());
+      Queue.push_back({Clock.now(), I >= WarmUp});
   }
+  // What was taken last ends after the last arrival.
+  WorkOff(Clock.now() + Wait);
   return Result;
 }
 
--- a/packages/core/tests/configuration_table_test.cpp
+++ b/packages/core/tests/configuration_table_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Configuration only goes forward, whatever the order of what comes in.
 
+#include "draws.h"
 #include "masticproxy/Cluster"
 
 #include <criterion/criterion.h>
@@ -12,8 +13,8 @@
   cr_assert(rc::check([] {
     configuration_table Table;
     std::uint64_t Newest = 0;
-    for (int Left = *rc::gen::inRange(1, 40); Left > 0; --Left) {
-      std::uint64_t Version = *rc::gen::inRange<std::uint64_t>(1, 20);
+    for (int Left = draw(1, 40); Left > 0; --Left) {
+      auto Version = static_cast<std::uint64_t>(draw(1, 20));
       bool Deleted = *rc::gen::arbitrary<bool>();
       bool Taken = Table.apply({"profile", "p", Version, Deleted, "text"});
       RC_ASSERT(Taken == (Version > Newest));
--- a/packages/core/tests/partial_answer_test.cpp
+++ b/packages/core/tests/partial_answer_test.cpp
@@ -2,6 +2,7 @@
 /// One snapshot in every answer, and a coverage that is true: partial_answer
 /// against a naive set of shards, over generated results.
 
+#include "draws.h"
 #include "masticproxy/Query"
 
 #include <criterion/criterion.h>
@@ -27,7 +28,7 @@
   upstream_result Result;
   Result.RequestId = *rc::gen::element<std::string>("own", "own", "other");
   Result.Snapshot = *rc::gen::element<std::string>("s1", "s1", "s2");
-  Result.Shard = std::to_string(*rc::gen::inRange(0, 12));
+  Result.Shard = std::to_string(draw(0, 12));
   Result.Body = Result.RequestId + Result.Snapshot;
   return Result;
 }
@@ -40,10 +41,10 @@
 
 template <typename Accept> bool holds(Accept AcceptResult) {
   return rc::check([AcceptResult] {
-    auto Shards = static_cast<std::size_t>(*rc::gen::inRange(0, 10));
+    auto Shards = static_cast<std::size_t>(draw(0, 10));
     partial_answer Answer("own", makeSnapshot("s1", Shards));
     std::set<std::string> Expected;
-    for (int Left = *rc::gen::inRange(0, 30); Left > 0; --Left) {
+    for (int Left = draw(0, 30); Left > 0; --Left) {
       upstream_result Result = anyResult();
       if (belongs(Result, Shards))
         Expected.insert(Result.Shard);
--- a/packages/core/tests/query_engine_property_test.cpp
+++ b/packages/core/tests/query_engine_property_test.cpp
@@ -61,8 +61,10 @@
   void fail(std::size_t Position, attempt_failure Failure) {
     send_attempt Ended =
         Audit.end(Position, Failure == attempt_failure::Unknown);
-    if (Failure == attempt_failure::Draining)
+    if (Failure == attempt_failure::Draining) {
       Audit.draining(Ended.Upstream);
+      ++Drains;
+    }
     handle(attempt_failed{Ended.Attempt, Failure});
   }
 
@@ -111,6 +113,7 @@
   }
 
   std::size_t open() const { return Audit.open(); }
+  unsigned drains() const { return Drains; }
   const engine_audit &audit() const { return Audit; }
 
 private:
@@ -128,6 +131,7 @@
   tampering Tamper;
   engine_audit Audit{Clock};
   query_ticket Tickets = 0;
+  unsigned Drains = 0;
 };
 
 bool holds(policy_name Policy, const tampering &Tamper = nullptr) {
@@ -137,6 +141,7 @@
     for (int Left = draw(0, 200); Left > 0; --Left)
       Run.step();
     RC_CLASSIFY(Run.audit().hedges() > 0, "hedged");
+    RC_CLASSIFY(Run.drains() > 0, "drained");
     Run.pass(Wait);
     Run.audit().checkAllOver();
   });
--- a/packages/core/tests/relay_world.h
+++ b/packages/core/tests/relay_world.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPROXY_TESTS_RELAY_WORLD_H
 #define MASTICPROXY_TESTS_RELAY_WORLD_H
 
+#include "draws.h"
 #include "manual_clock.h"
 #include "masticproxy/Query"
 
@@ -82,7 +83,7 @@
     std::vector<query_outcome> Outcomes;
   };
 
-  static int pick(int Count) { return *rc::gen::inRange(0, Count); }
+  static int pick(int Count) { return draw(0, Count); }
   static bool chance(int OneIn) { return pick(OneIn) == OneIn - 1; }
 
   void addNode(const std::string &Name, const std::string &DataCentre) {
