--- a/tools/check.sh
+++ b/tools/check.sh
@@ -28,6 +28,9 @@
 step "tests"
 run_tests build/release
 
+step "the proofs' page"
+python3 tools/check_proofs.py build/release
+
 step "tests under address and undefined-behaviour sanitizers"
 cmake -S . -B build/asan -G Ninja -DMASTICPROXY_SANITIZE=address,undefined >/dev/null
 cmake --build build/asan
