--- a/packages/testing/masticproxy/src/StandIns/upstream_shape.h
+++ b/packages/testing/masticproxy/src/StandIns/upstream_shape.h
@@ -23,6 +23,9 @@
   double StragglerFactor = 20;
   /// Snapshots held; empty: any.
   std::set<std::string> Snapshots;
+  /// Snapshot that results are taken from while they name the one that was
+  /// asked for; empty: the one that was asked for.
+  std::string ResultsOf;
   bool Draining = false;
   bool Down = false;
   /// Time after a start in which service takes ColdFactor times longer.
--- a/packages/testing/masticproxy/src/StandIns/upstream_stub.cpp
+++ b/packages/testing/masticproxy/src/StandIns/upstream_stub.cpp
@@ -173,7 +173,13 @@
   nlohmann::json Hits = nlohmann::json::array();
   for (unsigned I = 0; I < Shape.Hits; ++I)
     Hits.push_back(header(Job->Request, "x-shard") + "-" + std::to_string(I));
-  Response.Body = nlohmann::json({{"hits", Hits}}).dump();
+  Response.Body =
+      nlohmann::json({{"hits", Hits},
+                      {"shard", header(Job->Request, "x-shard")},
+                      {"snapshot", Shape.ResultsOf.empty()
+                                       ? header(Job->Request, "x-snapshot")
+                                       : Shape.ResultsOf}})
+          .dump();
   Job->Respond(std::move(Response));
   Running.erase(Job);
   startNext();
@@ -216,6 +222,7 @@
     readNumber(Root, "slots", Shape.Slots);
     readNumber(Root, "queue", Shape.Queue);
     readNumber(Root, "snapshots", Shape.Snapshots);
+    readNumber(Root, "results_of", Shape.ResultsOf);
     readSpan(Root, "service_us", Shape.ServiceTime);
     readSpan(Root, "restart_ms", Shape.RestartDelay);
     readSpan(Root, "cold_ms", Shape.ColdTime);
