Tell the VMs of a data centre that an upstream drains

Cause: each VM kept a draining upstream out for 10 s by itself and learned of the drain at a refusal of its own.

Ruled out: the list of drains in heartbeats, which must not grow; and asking the upstream's health endpoint, which would be further load on each upstream from each VM.

Change: a VM that is refused tells its peers, and tells them again every 500 ms with the age while its own 10 s last. What was told is never told on, counts 2 s longer than what was seen (so the VM that saw the drain looks first), for 60 s in a row at most and then not for 300 s. Where no replica is left, one attempt at a time asks the upstreams that are out by word alone.

--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -3,6 +3,7 @@
 
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Claims/claim_wanted.h"
+#include "masticproxy/src/Drain/drain_notice.h"
 #include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/query_outcome.h"
@@ -67,7 +68,7 @@
 using engine_command =
     std::variant<send_attempt, cancel_attempt, deliver_outcome, send_relay,
                  cancel_relay, answer_relay, claim_wanted, claim_unused,
-                 poison_notice>;
+                 poison_notice, drain_notice>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -3,6 +3,7 @@
 
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Claims/claim_decision.h"
+#include "masticproxy/src/Drain/drain_notice.h"
 #include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Query/partial_answer.h"
 #include "masticproxy/src/Relay/relay_cancel.h"
@@ -100,7 +101,7 @@
     std::variant<query_arrived, attempt_answered, attempt_failed,
                  catalogue_changed, timer_fired, leave_started, relay_failed,
                  relay_arrived, relay_cancelled, relays_closed, claim_decision,
-                 poison_notice>;
+                 poison_notice, drain_notice>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -31,18 +31,21 @@
     auto Found = Attempts.find(Attempt);
     return Found != Attempts.end() && !Found->second.Cancelled;
   });
+  tellDrains();
   return std::exchange(Commands, {});
 }
 
 std::optional<time_point> query_engine::nextWakeup() const {
+  // Drains are told also while no request is under way.
+  std::optional<time_point> Notice = Upstreams.nextNotice();
   if (Deadlines.empty())
-    return std::nullopt;
+    return Notice;
   time_point Next = Deadlines.begin()->first;
   if (!Waiting.empty())
     Next = std::min(Next, Clock.now() + WaitingPoll);
   if (std::optional<time_point> Hedge = Hedges.next())
     Next = std::min(Next, *Hedge);
-  return Next;
+  return std::min(Next, Notice.value_or(Next));
 }
 
 void query_engine::on(query_arrived Event) {
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -102,6 +102,7 @@
   void on(relays_closed Event);
   void on(claim_decision Event);
   void on(const poison_notice &Event);
+  void on(const drain_notice &Event);
 
   void startShards(query_ticket Ticket, query_run &Run);
   void startShard(query_ticket Ticket, query_run &Run, std::size_t Shard);
@@ -135,6 +136,7 @@
   std::optional<query_outcome> refusalOfId(const std::string &RequestId) const;
   void awaitClaim(query_ticket Ticket, query_run &Run);
   void releaseClaim(const query_run &Run, const query_outcome &Outcome);
+  void tellDrains();
   void noteDeath(const attempt_failed &Event);
   void endCondemned(query_fingerprint Fingerprint);
   /// \returns the shards in the order in which a run asks them.
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -7,13 +7,6 @@
 
 using namespace masticproxy;
 
-namespace {
-
-/// How long an upstream that is leaving gets no new work.
-constexpr std::chrono::seconds DrainPause{10};
-
-} // namespace
-
 const replica *upstream_table::choose(std::span<const replica> Replicas,
                                       std::span<const std::string> Tried,
                                       time_point Now) {
@@ -56,6 +49,8 @@
       Replicas.begin(), Replicas.end(), [&](const replica &Candidate) {
         if (Candidate.DataCentre != DataCentre)
           return false;
+        if (Hearsay.keepsOut(Candidate.Address, Latest))
+          return false;
         auto Found = States.find(Candidate.Address);
         if (Found == States.end())
           return true;
@@ -76,6 +71,7 @@
 
 void upstream_table::answered(const attempt_facts &Attempt, time_point Now) {
   stateOf(Attempt.Upstream, Now).Health.answered(Attempt.Age, Now);
+  Hearsay.answered(Attempt.Upstream, Now - Attempt.Age);
   observe(Attempt);
 }
 
@@ -87,7 +83,9 @@
   case attempt_failure::Refused:
     return Health.refused(State.InFlight, Now);
   case attempt_failure::Draining:
-    return Health.draining(Now + DrainPause);
+    Teller.refused(Attempt.Upstream, Now);
+    Hearsay.refused(Attempt.Upstream);
+    return Health.draining(Now + Drain.Span);
   case attempt_failure::NotSent:
   case attempt_failure::Unknown:
     return Health.failed(Now);
@@ -101,6 +99,14 @@
   observe(Attempt);
 }
 
+void upstream_table::onNotice(const drain_notice &Notice, time_point Now) {
+  Hearsay.onNotice(Notice, Now);
+  time_point Until = Hearsay.until(Notice.Upstream);
+  auto Found = States.find(Notice.Upstream);
+  if (Found != States.end() && Until > Now)
+    Found->second.Health.returnsAt(Until);
+}
+
 unsigned upstream_table::inFlight(std::string_view Upstream) const {
   auto Found = States.find(Upstream);
   return Found == States.end() ? 0 : Found->second.InFlight;
@@ -110,18 +116,30 @@
 upstream_table::candidates(std::span<const replica> Replicas,
                            std::span<const std::string> Tried, time_point Now) {
   std::vector<candidate> Set;
+  bool AnyTold = false;
   for (const replica &Replica : Replicas) {
     if (Replica.DataCentre != DataCentre)
       continue;
     upstream_state &State = stateOf(Replica.Address, Now);
     bool WasTried =
         std::find(Tried.begin(), Tried.end(), Replica.Address) != Tried.end();
+    bool ToldDraining = Hearsay.keepsOut(Replica.Address, Now);
+    AnyTold = AnyTold || ToldDraining;
     Set.push_back({&Replica, &State.Health, State.InFlight,
-                   placesAt(Replica, Now), slotShare(Replica, Now), WasTried});
+                   placesAt(Replica, Now), slotShare(Replica, Now),
+                   ToldDraining, WasTried});
   }
+  if (AnyTold && !servesBy(Replicas, Now))
+    askAlone(Set);
   return Set;
 }
 
+void upstream_table::askAlone(std::vector<candidate> &Set) {
+  // No replica is left: one attempt at a time finds out which is back.
+  for (candidate &One : Set)
+    One.ToldDraining = One.ToldDraining && One.InFlight > 0;
+}
+
 upstream_table::upstream_state &
 upstream_table::stateOf(std::string_view Upstream, time_point Now) {
   auto Found = States.find(Upstream);
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -3,6 +3,8 @@
 
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Cluster/connection_grant.h"
+#include "masticproxy/src/Drain/drain_hearsay.h"
+#include "masticproxy/src/Drain/drain_teller.h"
 #include "masticproxy/src/Routing/attempt_facts.h"
 #include "masticproxy/src/Routing/candidate.h"
 #include "masticproxy/src/Routing/routing_policy.h"
@@ -26,7 +28,9 @@
 /// open there, and the policy that decides by both.
 class upstream_table {
 public:
-  explicit upstream_table(routing_policy Policy) : Policy(std::move(Policy)) {}
+  explicit upstream_table(routing_policy Policy, drain_timing Drain = {})
+      : Policy(std::move(Policy)), Drain(Drain), Teller(Drain), Hearsay(Drain) {
+  }
 
   /// Sets the data centre whose upstreams may be chosen.
   void setDataCentre(std::string Name) { DataCentre = std::move(Name); }
@@ -82,6 +86,17 @@
   /// Notes that an attempt was given up.
   void abandoned(const attempt_facts &Attempt, time_point Now);
 
+  /// Takes in another VM's word that an upstream drains.
+  void onNotice(const drain_notice &Notice, time_point Now);
+
+  /// \returns what the other VMs have to hear at \p Now.
+  std::vector<drain_notice> takeNotices(time_point Now) {
+    return Teller.takeDue(Now);
+  }
+
+  /// \returns when they have to hear more, if at all.
+  std::optional<time_point> nextNotice() const { return Teller.next(); }
+
   /// \returns the attempts open at \p Upstream.
   unsigned inFlight(std::string_view Upstream) const;
 
@@ -96,12 +111,16 @@
   std::vector<candidate> candidates(std::span<const replica> Replicas,
                                     std::span<const std::string> Tried,
                                     time_point Now);
+  static void askAlone(std::vector<candidate> &Set);
   upstream_state &stateOf(std::string_view Upstream, time_point Now);
   unsigned placesAt(const replica &Replica, time_point Now) const;
   unsigned slotShare(const replica &Replica, time_point Now) const;
   void observe(const attempt_facts &Attempt);
 
   routing_policy Policy;
+  drain_timing Drain;
+  drain_teller Teller;
+  drain_hearsay Hearsay;
   std::string DataCentre;
   std::shared_ptr<const connection_grant> Grant;
   std::map<std::string, upstream_state, std::less<>> States;
--- a/packages/core/masticproxy/src/Routing/candidate.h
+++ b/packages/core/masticproxy/src/Routing/candidate.h
@@ -17,12 +17,15 @@
   unsigned Places = 1;
   /// Attempts that fit this VM's share of the upstream's slots.
   unsigned SlotShare = 1;
+  /// Whether other VMs say that it drains.
+  bool ToldDraining = false;
   /// Whether this request has tried it.
   bool Tried = false;
 
   /// \returns whether this request may go there at all.
   bool isOpen(time_point Now) const {
-    return !Tried && InFlight < Places && !Health->isDraining(Now);
+    return !Tried && InFlight < Places && !ToldDraining &&
+           !Health->isDraining(Now);
   }
 };
 
--- a/packages/core/masticproxy/src/Routing/upstream_health.h
+++ b/packages/core/masticproxy/src/Routing/upstream_health.h
@@ -29,6 +29,9 @@
   /// Notes that the upstream drains: it gets nothing until \p Until.
   void draining(time_point Until);
 
+  /// Notes that the upstream gets work again from \p Start on, little at first.
+  void returnsAt(time_point Start) { RampStart = Start; }
+
   /// \returns whether the upstream has said that it is leaving.
   bool isDraining(time_point Now) const { return Now < DrainUntil; }
 
--- /dev/null
+++ b/packages/core/tests/drain_notice_test.cpp
@@ -0,0 +1,176 @@
+/// \file
+/// Notices of upstreams that leave: when they are sent, how far believed.
+
+#include "manual_clock.h"
+#include "masticproxy/Drain"
+#include "masticproxy/Query"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+using namespace masticproxy;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr const char *First = "127.0.0.1:1";
+constexpr const char *Second = "127.0.0.1:2";
+
+std::vector<replica> twoReplicas() {
+  return {{First, "dc1", 4, 8}, {Second, "dc1", 4, 8}};
+}
+
+upstream_table makeTable() {
+  upstream_table Table(makePolicy(policy_name::Adaptive, 1));
+  Table.setDataCentre("dc1");
+  return Table;
+}
+
+attempt_facts factsOf(const char *Upstream, duration Age) {
+  return {Upstream, "index", attempt_kind::First, Age};
+}
+
+/// Sends notices of a VM that always sees a drain, for \p Length. \returns how
+/// long the upstream was out.
+duration outFor(drain_hearsay &Hearsay, manual_clock &Clock, seconds Length) {
+  duration Out{0};
+  for (time_point End = Clock.now() + Length; Clock.now() < End;) {
+    Hearsay.onNotice({First, milliseconds(0)}, Clock.now());
+    if (Hearsay.keepsOut(First, Clock.now()))
+      Out += milliseconds(500);
+    Clock.advance(milliseconds(500));
+  }
+  return Out;
+}
+
+} // namespace
+
+Test(drain_teller, tells_at_once_and_again_until_the_span_is_over) {
+  manual_clock Clock;
+  drain_teller Teller({});
+  cr_assert_not(Teller.next().has_value());
+  for (int I = 0; I < 50; ++I)
+    Teller.refused(First, Clock.now());
+  unsigned Notices = 0;
+  time_point Start = Clock.now();
+  while (std::optional<time_point> Next = Teller.next()) {
+    Clock.advance(*Next - Clock.now());
+    for (const drain_notice &Notice : Teller.takeDue(Clock.now())) {
+      cr_assert(Notice.Age == Clock.now() - Start);
+      ++Notices;
+    }
+  }
+  cr_assert(Notices == 20, "%u notices", Notices);
+}
+
+Test(drain_hearsay, a_doubled_or_old_notice_does_not_make_it_longer) {
+  manual_clock Clock;
+  drain_hearsay Hearsay({});
+  Hearsay.onNotice({First, seconds(0)}, Clock.now());
+  time_point Until = Hearsay.until(First);
+  cr_assert(Until == Clock.now() + seconds(12));
+  Clock.advance(seconds(4));
+  Hearsay.onNotice({First, seconds(4)}, Clock.now());
+  Hearsay.onNotice({First, seconds(6)}, Clock.now());
+  Hearsay.onNotice({First, seconds(10)}, Clock.now());
+  cr_assert(Hearsay.until(First) == Until);
+  Clock.advance(seconds(8));
+  cr_assert_not(Hearsay.keepsOut(First, Clock.now()));
+}
+
+Test(drain_hearsay, an_answer_to_a_later_attempt_outweighs_it) {
+  manual_clock Clock;
+  drain_hearsay Hearsay({});
+  Hearsay.onNotice({First, seconds(1)}, Clock.now());
+  Hearsay.answered(First, Clock.now() - seconds(2));
+  cr_assert(Hearsay.keepsOut(First, Clock.now()));
+  Hearsay.answered(First, Clock.now());
+  cr_assert_not(Hearsay.keepsOut(First, Clock.now()));
+  Clock.advance(seconds(1));
+  Hearsay.onNotice({First, seconds(2)}, Clock.now());
+  cr_assert_not(Hearsay.keepsOut(First, Clock.now()));
+  Hearsay.onNotice({First, milliseconds(500)}, Clock.now());
+  cr_assert(Hearsay.keepsOut(First, Clock.now()));
+}
+
+Test(drain_hearsay, one_wrong_vm_keeps_no_upstream_out_for_ever) {
+  manual_clock Clock;
+  drain_hearsay Hearsay({});
+  duration Out = outFor(Hearsay, Clock, seconds(360));
+  cr_assert(Out == seconds(60));
+  cr_assert(outFor(Hearsay, Clock, seconds(60)) > seconds(0));
+}
+
+Test(drain_hearsay, is_believed_anew_once_this_vm_was_refused_too) {
+  manual_clock Clock;
+  drain_hearsay Hearsay({});
+  outFor(Hearsay, Clock, seconds(70));
+  cr_assert_not(Hearsay.keepsOut(First, Clock.now()));
+  Hearsay.refused(First);
+  Hearsay.onNotice({First, seconds(0)}, Clock.now());
+  cr_assert(Hearsay.keepsOut(First, Clock.now()));
+}
+
+Test(upstream_table, where_all_replicas_drain_one_attempt_at_a_time_asks) {
+  manual_clock Clock;
+  upstream_table Table = makeTable();
+  Table.onNotice({First, seconds(0)}, Clock.now());
+  const replica *Chosen = Table.choose(twoReplicas(), {}, Clock.now());
+  std::vector<replica> Replicas = twoReplicas();
+  Chosen = Table.choose(Replicas, {}, Clock.now());
+  cr_assert(Chosen && Chosen->Address == Second);
+  Table.onNotice({Second, seconds(0)}, Clock.now());
+  cr_assert_not(Table.servesBy(Replicas, Clock.now()));
+  for (int I = 0; I < 2; ++I) {
+    Chosen = Table.choose(Replicas, {}, Clock.now());
+    cr_assert(Chosen);
+    Table.attemptStarted(Chosen->Address);
+  }
+  cr_assert_not(Table.choose(Replicas, {}, Clock.now()));
+  // The first is back; the second refuses.
+  Clock.advance(milliseconds(5));
+  Table.attemptEnded(First);
+  Table.attemptEnded(Second);
+  Table.failed(factsOf(Second, milliseconds(5)), attempt_failure::Draining,
+               Clock.now());
+  Clock.advance(milliseconds(5));
+  Table.answered(factsOf(First, milliseconds(5)), Clock.now());
+  Chosen = Table.choose(Replicas, {}, Clock.now());
+  cr_assert(Chosen && Chosen->Address == First);
+  Table.attemptStarted(First);
+  Chosen = Table.choose(Replicas, {}, Clock.now());
+  cr_assert(Chosen && Chosen->Address == First);
+}
+
+Test(query_engine, tells_of_a_drain_while_nothing_is_under_way) {
+  manual_clock Clock;
+  query_engine Engine(Clock, {.DataCentre = "dc1"});
+  auto Snapshot = std::make_shared<index_snapshot>();
+  Snapshot->Id = "s1";
+  Snapshot->Shards = {{"0", twoReplicas()}};
+  auto Catalogue = std::make_shared<query_catalogue>();
+  Catalogue->setIndex({"index", Snapshot});
+  profile Profile;
+  Profile.Name = "lookup";
+  Profile.MayRepeat = true;
+  Profile.Wait = seconds(1);
+  Catalogue->setProfile(Profile);
+  Engine.handle(catalogue_changed{Catalogue});
+  std::vector<engine_command> Commands =
+      Engine.handle(query_arrived{1, "r1", "lookup", "index", "{}"});
+  auto Sent = std::get<send_attempt>(Commands.front());
+  Commands =
+      Engine.handle(attempt_failed{Sent.Attempt, attempt_failure::Draining});
+  auto Told = std::get<drain_notice>(Commands.back());
+  cr_assert(Told == (drain_notice{Sent.Upstream, milliseconds(0)}));
+  Clock.advance(seconds(2));
+  Engine.handle(timer_fired{});
+  cr_assert(Engine.running() == 0);
+  cr_assert(Engine.nextWakeup().has_value());
+  Clock.advance(*Engine.nextWakeup() - Clock.now());
+  Commands = Engine.handle(timer_fired{});
+  cr_assert(Commands.size() == 1);
+  cr_assert(std::get<drain_notice>(Commands.front()).Age > seconds(2));
+}
--- a/packages/core/tests/engine_audit.h
+++ b/packages/core/tests/engine_audit.h
@@ -84,6 +84,7 @@
   void on(const claim_wanted &Wanted) { Claims.push_back(Wanted); }
   void on(const claim_unused &) {}
   void on(const poison_notice &) {}
+  void on(const drain_notice &) {}
 
   /// No VM of another data centre is known, so none may be asked.
   void on(const send_relay &) { RC_FAIL("a relay to nowhere"); }
--- a/packages/core/tests/relay_world.h
+++ b/packages/core/tests/relay_world.h
@@ -192,6 +192,7 @@
 
   void carryOut(node &, claim_unused &) {}
   void carryOut(node &, poison_notice &) {}
+  void carryOut(node &, drain_notice &) {}
 
   void carryOut(node &, deliver_outcome &C) {
     Records[C.RequestId].Outcomes.push_back(std::move(C.Outcome));
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -67,8 +67,10 @@
   Links.FromPeers.drain([this](peer_message Message) {
     std::visit([this](auto M) { on(std::move(M)); }, std::move(Message));
   });
-  Links.FromEngine.drain(
-      [this](poison_notice Notice) { sendToPeers(std::move(Notice)); });
+  Links.FromEngine.drain([this](engine_notice Notice) {
+    std::visit([this](auto N) { sendToPeers(std::move(N)); },
+               std::move(Notice));
+  });
   decide();
 }
 
@@ -195,6 +197,13 @@
     Links.Counters.get("notice_ring_full_total").add();
 }
 
+void control_duty::on(const drain_notice &Notice) {
+  Links.Counters.get("drain_notices_total", "direction=\"received\"").add();
+  // A full ring drops it: the sender says it again.
+  if (!Links.ToEngine.push(Notice))
+    Links.Counters.get("notice_ring_full_total").add();
+}
+
 bool control_duty::takeOver(const configuration_record &Record) {
   object_in_force &Object = InForce[{Record.Kind, Record.Name}];
   Object.Kind = Record.Kind;
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.h
@@ -43,6 +43,7 @@
   void on(const configuration_pull &Pull);
   void takeIn(const configuration_push &Push);
   void on(const poison_notice &Notice);
+  void on(const drain_notice &Notice);
   bool takeOver(const configuration_record &Record);
   void decide();
   void chooseWatching();
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -182,6 +182,8 @@
     handle(std::move(*Changed));
   else if (auto *Notice = std::get_if<poison_notice>(&Update))
     handle(std::move(*Notice));
+  else if (auto *Drain = std::get_if<drain_notice>(&Update))
+    handle(std::move(*Drain));
   else if (auto *Remotes = std::get_if<remotes_changed>(&Update))
     Engine.setRemotes(std::move(Remotes->Remotes));
   else
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -55,6 +55,7 @@
   void carryOut(const claim_wanted &Command);
   void carryOut(const claim_unused &Command);
   void carryOut(const poison_notice &Command);
+  void carryOut(const drain_notice &Command);
   void take(engine_update Update);
   void schedule();
 
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
@@ -31,3 +31,12 @@
   if (!Control->push(Command))
     Counters.get("notice_ring_full_total").add();
 }
+
+void engine_thread::carryOut(const drain_notice &Command) {
+  Counters.get("drain_notices_total", "direction=\"sent\"").add();
+  if (Command.Age == std::chrono::milliseconds(0))
+    Events.add("upstream_draining", "", Command.Upstream);
+  // A lost notice is made up for by the next one.
+  if (!Control->push(Command))
+    Counters.get("notice_ring_full_total").add();
+}
--- a/packages/wire/masticproxy/src/Wire/peer_codec.cpp
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.cpp
@@ -13,6 +13,10 @@
   return Text ? Text->str() : std::string();
 }
 
+/// Of a notice; an older one was made by a sender gone wrong.
+constexpr std::uint64_t LongestAge =
+    std::chrono::milliseconds(std::chrono::hours(24)).count();
+
 /// An empty text takes no bytes.
 Offset<flatbuffers::String> packText(FlatBufferBuilder &Out,
                                      const std::string &Text) {
@@ -87,6 +91,13 @@
         static_cast<std::uint64_t>(M.Age.count()));
     return {wire::PeerBody::PoisonNotice, Packed.Union()};
   }
+
+  std::pair<wire::PeerBody, Offset<void>> operator()(const drain_notice &M) {
+    auto Packed =
+        wire::CreateDrainNotice(Out, Out.CreateString(M.Upstream),
+                                static_cast<std::uint64_t>(M.Age.count()));
+    return {wire::PeerBody::DrainNotice, Packed.Union()};
+  }
 };
 
 std::variant<peer_message, frame_error> unpack(const wire::Heartbeat &M) {
@@ -131,8 +142,6 @@
 }
 
 std::variant<peer_message, frame_error> unpack(const wire::PoisonNotice &M) {
-  constexpr std::uint64_t LongestAge =
-      std::chrono::milliseconds(std::chrono::hours(24)).count();
   if (M.age_ms() > LongestAge)
     return frame_error::Malformed;
   return peer_message(poison_notice{M.fingerprint(), M.rounds(),
@@ -140,6 +149,13 @@
                                     std::chrono::milliseconds(M.age_ms())});
 }
 
+std::variant<peer_message, frame_error> unpack(const wire::DrainNotice &M) {
+  if (M.age_ms() > LongestAge)
+    return frame_error::Malformed;
+  return peer_message(
+      drain_notice{text(M.upstream()), std::chrono::milliseconds(M.age_ms())});
+}
+
 } // namespace
 
 std::string masticproxy::encodePeerMessage(const peer_message &Message) {
@@ -166,6 +182,8 @@
     return unpack(*Envelope->body_as_ConfigurationPull());
   case wire::PeerBody::PoisonNotice:
     return unpack(*Envelope->body_as_PoisonNotice());
+  case wire::PeerBody::DrainNotice:
+    return unpack(*Envelope->body_as_DrainNotice());
   case wire::PeerBody::NONE:
     break;
   }
--- a/packages/wire/tests/frame_test.cpp
+++ b/packages/wire/tests/frame_test.cpp
@@ -33,7 +33,7 @@
 
 peer_message anyMessage() {
   int Count = *rc::gen::inRange(0, 5);
-  switch (*rc::gen::inRange(0, 4)) {
+  switch (*rc::gen::inRange(0, 5)) {
   case 0: {
     heartbeat Message;
     Message.Sender = anyMember();
@@ -65,6 +65,10 @@
         *rc::gen::arbitrary<std::uint32_t>(),
         *rc::gen::arbitrary<std::string>(),
         std::chrono::milliseconds(*rc::gen::inRange(0, 1000000))};
+  case 3:
+    return drain_notice{
+        *rc::gen::arbitrary<std::string>(),
+        std::chrono::milliseconds(*rc::gen::inRange(0, 1000000))};
   default:
     return configuration_pull{*rc::gen::arbitrary<std::uint64_t>(),
                               *rc::gen::arbitrary<std::string>()};
