Put a drain into the time line

Cause: a notice was taken for the first of its drain where its age is 0. On a real clock time passes between refusal and notice, so that no event was written; a trial with three VMs showed it.

Change: a notice younger than the repetition is news.

Proof: the process test asks the time line; it failed before the change and passes after it.

--- a/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
@@ -1,5 +1,6 @@
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/engine_thread.h"
+#include "masticproxy/src/Drain/drain_timing.h"
 #include "masticproxy/src/Net/event_log.h"
 
 using namespace masticproxy;
@@ -34,7 +35,8 @@
 
 void engine_thread::carryOut(const drain_notice &Command) {
   Counters.get("drain_notices_total", "direction=\"sent\"").add();
-  if (Command.Age == std::chrono::milliseconds(0))
+  // An older one repeats what stands in the time line already.
+  if (Command.Age < drain_timing{}.Repeat)
     Events.add("upstream_draining", "", Command.Upstream);
   // A lost notice is made up for by the next one.
   if (!Control->push(Command))
--- a/packages/testing/tests/drain_test.cpp
+++ b/packages/testing/tests/drain_test.cpp
@@ -83,6 +83,11 @@
   std::string Upstream = Cluster.upstreamAddress(0, 0);
   Cluster.setFaults(Upstream, R"({"draining": true})");
   meetRefusal(Cluster, Upstream);
+  std::string Timeline;
+  cr_assert(Cluster.waitUntil([&] {
+    Timeline = Cluster.get(Cluster.callersAddress(0), "/v1/timeline");
+    return Timeline.find("upstream_draining") != std::string::npos;
+  }));
   std::this_thread::sleep_for(Honoured);
   unsigned Before = refusedBy(Cluster, Upstream);
   int Failed = 0;
