Note the end of each attempt on the time line

Cause: the time line had attempt_sent and outcome, but nothing between: one could not see which attempt answered, failed or was given up, nor choose events by shard, upstream or profile, which stood in free text only.

Change: attempt_log writes attempt_sent, relay_sent, attempt_answered, attempt_failed and attempt_cancelled, with attempt, shard, upstream, kind and end as fields of their own; query_arrived names its profile. It keeps an attempt until it ends or is cancelled, so never more than the engine has under way. The page takes from=US, so that a reader can ask for what is new only.

Ruled out: carrying the profile on each command of the engine; a reader joins events by request id.

Cost: two events an attempt instead of one, so timeline.events reaches about half as far back. Not measured: the effect on load.

Proof: attempt_log_test.

--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
@@ -0,0 +1,89 @@
+#include "masticproxy/src/Daemon/attempt_log.h"
+
+#include "masticproxy/src/Net/event_log.h"
+#include "masticproxy/src/Query/engine_command.h"
+
+using namespace masticproxy;
+
+namespace {
+
+std::string_view nameOf(attempt_kind Kind) {
+  switch (Kind) {
+  case attempt_kind::First:
+    return "first";
+  case attempt_kind::Retry:
+    return "retry";
+  case attempt_kind::Hedge:
+    return "hedge";
+  }
+  return "unknown";
+}
+
+std::string_view nameOf(const attempt_failed &Event) {
+  if (Event.UpstreamDied)
+    return "upstream_died";
+  switch (Event.Failure) {
+  case attempt_failure::NotSent:
+    return "not_sent";
+  case attempt_failure::Refused:
+    return "refused";
+  case attempt_failure::Draining:
+    return "draining";
+  case attempt_failure::SnapshotGone:
+    return "snapshot_gone";
+  case attempt_failure::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+void attempt_log::sent(const send_attempt &Command) {
+  begin("attempt_sent",
+        {Command.RequestId,
+         {Command.Attempt, Command.Shard, Command.Upstream,
+          std::string(nameOf(Command.Kind)), /*End=*/"", /*Profile=*/""}});
+}
+
+void attempt_log::sent(const send_relay &Command) {
+  const relay_request &Request = Command.Request;
+  begin("relay_sent", {Request.RequestId,
+                       {Request.Attempt, Request.Shard, Command.Vm, "relay",
+                        /*End=*/"", /*Profile=*/""}});
+}
+
+void attempt_log::begin(std::string_view Kind, open_attempt Attempt) {
+  const event_facts &Facts = Attempt.Facts;
+  Events.add(Kind, Attempt.RequestId, Facts.Shard + " to " + Facts.Upstream,
+             Facts);
+  attempt_id Id = Facts.Attempt;
+  Open.insert_or_assign(Id, std::move(Attempt));
+}
+
+void attempt_log::cancelled(attempt_id Attempt) {
+  end(Attempt, "attempt_cancelled", "cancelled");
+}
+
+void attempt_log::ended(const engine_event &Event) {
+  if (auto *Answered = std::get_if<attempt_answered>(&Event))
+    end(Answered->Attempt, "attempt_answered", "answered");
+  else if (auto *Failed = std::get_if<attempt_failed>(&Event))
+    end(Failed->Attempt, "attempt_failed", nameOf(*Failed));
+  else if (auto *Relay = std::get_if<relay_failed>(&Event))
+    end(Relay->Attempt, "attempt_failed", toString(Relay->End));
+}
+
+void attempt_log::end(attempt_id Attempt, std::string_view Kind,
+                      std::string_view End) {
+  auto Found = Open.find(Attempt);
+  if (Found == Open.end())
+    return;
+  open_attempt Ended = std::move(Found->second);
+  Open.erase(Found);
+  Ended.Facts.End = End;
+  Events.add(Kind, Ended.RequestId,
+             Ended.Facts.End + ", " + Ended.Facts.Shard + " at " +
+                 Ended.Facts.Upstream,
+             Ended.Facts);
+}
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -3,6 +3,7 @@
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/outcome_response.h"
+#include "masticproxy/src/Daemon/timeline_line.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Settings/node_settings.h"
 #include "masticproxy/src/Settings/object_name.h"
@@ -11,6 +12,8 @@
 #include <boost/uuid/uuid_io.hpp>
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+
 using namespace masticproxy;
 
 namespace {
@@ -220,17 +223,20 @@
 }
 
 http_response callers_thread::timeline(const http_request &Request) const {
-  std::string Wanted = targetParameter(Request.Target, "request");
+  std::string From = targetParameter(Request.Target, "from");
+  if (From.empty())
+    From = "0";
+  std::int64_t Microseconds = 0;
+  const char *End = From.data() + From.size();
+  auto [Stop, Error] = std::from_chars(From.data(), End, Microseconds);
+  if (Error != std::errc() || Stop != End)
+    return errorResponse(StatusBadRequest, "bad_request",
+                         "from needs microseconds since 1970", "");
   std::string Lines;
-  for (const timeline_event &Event : Events.events(Wanted)) {
-    nlohmann::json Line = {
-        {"us", Event.At.Microseconds},   {"counter", Event.At.Counter},
-        {"vm", Settings.Name},           {"kind", Event.Kind},
-        {"request_id", Event.RequestId}, {"detail", Event.Detail}};
-    Lines +=
-        Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    Lines.push_back('\n');
-  }
+  for (const timeline_event &Event :
+       Events.events(targetParameter(Request.Target, "request"),
+                     std::chrono::microseconds(Microseconds)))
+    Lines += timelineLine(Event, Settings.Name);
   return jsonText(std::move(Lines));
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -41,12 +41,13 @@
 engine_thread::engine_thread(const clock &Clock, engine_limits Limits,
                              counter_registry &Counters, event_log &Events)
     : Engine(Clock, std::move(Limits)), Counters(Counters), Events(Events),
-      Timer(Loop.context()),
+      Attempts(Events), Timer(Loop.context()),
       Queries(RequestRingCapacity,
               [this] {
                 Loop.post([this] {
                   Queries.drain([this](query_arrived E) {
-                    this->Events.add("query_arrived", E.RequestId, E.Profile);
+                    this->Events.add("query_arrived", E.RequestId, E.Profile,
+                                     {.Profile = E.Profile});
                     handle(std::move(E));
                   });
                 });
@@ -102,6 +103,7 @@
 }
 
 void engine_thread::handle(engine_event Event) {
+  Attempts.ended(Event);
   for (engine_command &Command : Engine.handle(std::move(Event)))
     std::visit([this](auto C) { carryOut(std::move(C)); }, std::move(Command));
   Running.store(Engine.running());
@@ -110,8 +112,7 @@
 
 void engine_thread::carryOut(const send_attempt &Command) {
   Counters.get("attempts_total", kindLabel(Command.Kind)).add();
-  Events.add("attempt_sent", Command.RequestId,
-             Command.Shard + " to " + Command.Upstream);
+  Attempts.sent(Command);
   attempt_id Attempt = Command.Attempt;
   if (Upstreams->push(Command))
     return;
@@ -125,6 +126,7 @@
 
 void engine_thread::carryOut(const cancel_attempt &Command) {
   Counters.get("cancellations_total").add();
+  Attempts.cancelled(Command.Attempt);
   // A lost cancellation costs work, not truth: the deadline ends the attempt.
   // Assigned, not constructed: GCC 12 takes the other alternative's members for
   // read uninitialized in the destructor.
@@ -144,8 +146,7 @@
 
 void engine_thread::carryOut(const send_relay &Command) {
   Counters.get("relay_attempts_total").add();
-  Events.add("relay_sent", Command.Request.RequestId,
-             Command.Request.Shard + " to " + Command.Vm);
+  Attempts.sent(Command);
   attempt_id Attempt = Command.Request.Attempt;
   if (Relay->push(Command))
     return;
@@ -157,6 +158,7 @@
 
 void engine_thread::carryOut(const cancel_relay &Command) {
   Counters.get("cancellations_total").add();
+  Attempts.cancelled(Command.Attempt);
   Relay->push(Command);
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPROXY_DAEMON_ENGINE_THREAD_H
 #define MASTICPROXY_DAEMON_ENGINE_THREAD_H
 
+#include "masticproxy/src/Daemon/attempt_log.h"
 #include "masticproxy/src/Daemon/daemon_rings.h"
 #include "masticproxy/src/Daemon/loop_thread.h"
 #include "masticproxy/src/Query/query_engine.h"
@@ -62,6 +63,7 @@
   query_engine Engine;
   counter_registry &Counters;
   event_log &Events;
+  attempt_log Attempts;
   boost::asio::steady_timer Timer;
   std::optional<time_point> TimerSetFor;
   query_ring Queries;
--- a/packages/net/masticproxy/src/Net/event_log.h
+++ b/packages/net/masticproxy/src/Net/event_log.h
@@ -1,10 +1,11 @@
 #ifndef MASTICPROXY_NET_EVENT_LOG_H
 #define MASTICPROXY_NET_EVENT_LOG_H
 
-#include "masticproxy/src/Net/hybrid_clock.h"
+#include "masticproxy/src/Net/timeline_event.h"
 
 #include <boost/circular_buffer.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <mutex>
 #include <string>
@@ -13,15 +14,6 @@
 
 namespace masticproxy {
 
-/// \brief One event of the time line.
-struct timeline_event {
-  hybrid_time At;
-  std::string Kind;
-  /// Request that the event belongs to; may be empty.
-  std::string RequestId;
-  std::string Detail;
-};
-
 /// \brief The newest events of one process; older ones give way.
 class event_log {
 public:
@@ -30,11 +22,12 @@
 
   /// Adds an event that happens now.
   void add(std::string_view Kind, std::string_view RequestId,
-           std::string_view Detail);
+           std::string_view Detail, event_facts Facts = {});
 
-  /// \returns the kept events, oldest first; those of \p RequestId only, if it
-  /// is not empty.
-  std::vector<timeline_event> events(std::string_view RequestId) const;
+  /// \returns the kept events that are not older than \p From, oldest first;
+  /// those of \p RequestId only, if it is not empty.
+  std::vector<timeline_event> events(std::string_view RequestId,
+                                     std::chrono::microseconds From = {}) const;
 
 private:
   hybrid_clock &Clock;
