Filter, follow and draw the operators' time line

Cause: masticctl timeline chose events by request only, showed one instant, and left it to the reader to put a request's fan-out together.

VMs that give no events are named, exit code 1, as before. Options that don't go together are refused, exit code 2.

Ruled out: merging the new events of several looks again while following: it would hold events back for as long as the slowest VM takes. They are in causal order within one look.

Proof: timeline_options_test, timeline_test and waterfall_test in ctl, and process_timeline_test with one VM stopped.

--- a/packages/ctl/masticproxy/src/Ctl/ctl_help.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/ctl_help.cpp
@@ -53,9 +53,21 @@
                "Prints what each VM reports of itself and its peers.\n"},
     {"timeline",
      "Usage: masticctl timeline --vm ADDRESS[,ADDRESS...] [--request ID]\n"
+     "         [--kind KIND[,KIND...]] [--vm-name NAME] [--profile NAME]\n"
+     "         [--upstream ADDRESS] [--since WHEN] [--until WHEN]\n"
+     "         [--follow [--for SPAN]]\n"
+     "       masticctl timeline --vm ADDRESS[,ADDRESS...] --request ID\n"
+     "         [--waterfall] [--svg FILE]\n"
      "\n"
-     "Prints the events of all VMs in causal order; those of one request with\n"
-     "--request.\n"},
+     "Prints the events of all VMs in causal order; those that fit all "
+     "filters.\n"
+     "--profile chooses the events of that profile's requests, --vm-name "
+     "those\n"
+     "of one VM. A SPAN is such as 500ms, 10s, 5min or 1h; WHEN is a SPAN "
+     "back\n"
+     "from now, or a wall time such as 2026-12-04T11:30:00Z. --follow goes on\n"
+     "with new events until interrupted. --waterfall prints each attempt of a\n"
+     "request with its beginning and end, --svg draws the same into FILE.\n"},
     {"check", "Usage: masticctl check settings|profile|index FILE\n"
               "\n"
               "Checks a file without a server and names all its errors.\n"},
--- a/packages/ctl/masticproxy/src/Ctl/ctl_options.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/ctl_options.cpp
@@ -43,6 +43,15 @@
       {"body", required_argument, nullptr, 'b'},
       {"if-version", required_argument, nullptr, 'v'},
       {"timeout-ms", required_argument, nullptr, 't'},
+      {"kind", required_argument, nullptr, KindOption},
+      {"vm-name", required_argument, nullptr, VmNameOption},
+      {"upstream", required_argument, nullptr, UpstreamOption},
+      {"since", required_argument, nullptr, SinceOption},
+      {"until", required_argument, nullptr, UntilOption},
+      {"follow", no_argument, nullptr, FollowOption},
+      {"for", required_argument, nullptr, ForOption},
+      {"waterfall", no_argument, nullptr, WaterfallOption},
+      {"svg", required_argument, nullptr, SvgOption},
       {"json", no_argument, nullptr, 'j'},
       {"help", no_argument, nullptr, 'h'},
       {"version", no_argument, nullptr, 'V'},
@@ -88,6 +97,8 @@
       Options.ShowVersion = true;
       break;
     default:
+      if (takeTimelineOption(Found, optarg, Options.Timeline))
+        break;
       throw ctl_error(ctl_exit::Usage, "unknown or incomplete option: " +
                                            std::string(Args[optind - 1]));
     }
--- a/packages/ctl/masticproxy/src/Ctl/ctl_options.h
+++ b/packages/ctl/masticproxy/src/Ctl/ctl_options.h
@@ -1,6 +1,8 @@
 #ifndef MASTICPROXY_CTL_CTL_OPTIONS_H
 #define MASTICPROXY_CTL_CTL_OPTIONS_H
 
+#include "masticproxy/src/Ctl/timeline_options.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -25,6 +27,7 @@
   bool Json = false;
   bool ShowHelp = false;
   bool ShowVersion = false;
+  timeline_options Timeline;
 };
 
 /// Reads the command line. \throws ctl_error where it is wrong.
--- a/packages/ctl/masticproxy/src/Ctl/timeline_command.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/timeline_command.cpp
@@ -2,81 +2,113 @@
 
 #include "masticproxy/src/Ctl/ctl_error.h"
 #include "masticproxy/src/Ctl/ctl_options.h"
-#include "masticproxy/src/Ctl/vm_reports.h"
-#include "masticproxy/src/Net/http_message.h"
-
-#include <nlohmann/json.hpp>
+#include "masticproxy/src/Ctl/event_filter.h"
+#include "masticproxy/src/Ctl/fan_out.h"
+#include "masticproxy/src/Ctl/timeline_printer.h"
+#include "masticproxy/src/Ctl/timeline_reader.h"
+#include "masticproxy/src/Ctl/waterfall_svg.h"
+#include "masticproxy/src/Ctl/waterfall_text.h"
+#include "masticproxy/src/Net/os_clock.h"
 
 #include <algorithm>
-#include <iomanip>
+#include <fstream>
 #include <ostream>
-#include <sstream>
-#include <tuple>
-#include <vector>
+#include <thread>
 
 using namespace masticproxy;
 
 namespace {
 
-constexpr int VmWidth = 12;
-constexpr int KindWidth = 24;
-constexpr int TimeWidth = 12;
+constexpr std::chrono::milliseconds FollowPoll{500};
+
+timeline_reader readerFor(const ctl_options &Options) {
+  if (Options.Vms.empty())
+    throw ctl_error(ctl_exit::Usage, "--vm ADDRESS[,ADDRESS...] is required");
+  return {Options.Vms, Options.RequestId,
+          [&Options](const std::string &Vm, const std::string &Target) {
+            return askVm(Vm, Target, Options.Timeout);
+          }};
+}
+
+/// Names the VMs without events after a text about those with.
+void reportUnreached(const timeline_reader &Reader) {
+  std::string Unreached;
+  for (const std::string &Vm : Reader.unreached())
+    Unreached += " " + Vm;
+  if (!Unreached.empty())
+    throw ctl_error(ctl_exit::Unreachable, "no events from:" + Unreached);
+}
+
+void writeSvg(const std::string &Path, const fan_out &Request) {
+  std::ofstream File(Path);
+  File << waterfallSvg(Request);
+  File.close();
+  if (!File)
+    throw ctl_error(ctl_exit::Usage, "can't write " + Path);
+}
 
-void readLines(const std::string &Text, std::vector<nlohmann::json> &Into) {
-  std::istringstream In(Text);
-  for (std::string Line; std::getline(In, Line);) {
-    nlohmann::json Event = nlohmann::json::parse(Line, nullptr, false);
-    if (Event.is_object())
-      Into.push_back(std::move(Event));
+void showFanOut(const ctl_options &Options, timeline_reader &Reader,
+                std::ostream &Out) {
+  fan_out Request = toFanOut(Reader.read().Events);
+  Request.Unreached = Reader.unreached();
+  if (Request.Attempts.empty()) {
+    Out << "no attempts of request " << Options.RequestId << "\n";
+    reportUnreached(Reader);
+    throw ctl_error(ctl_exit::Unreachable,
+                    "no VM named has attempts of this request");
+  }
+  if (Options.Timeline.Waterfall)
+    Out << waterfallText(Request);
+  if (const std::string &Path = Options.Timeline.SvgFile; !Path.empty()) {
+    writeSvg(Path, Request);
+    Out << "wrote " << Path << "\n";
   }
 }
 
-auto orderOf(const nlohmann::json &Event) {
-  return std::tuple(Event.value("us", std::int64_t{0}),
-                    Event.value("counter", std::uint32_t{0}),
-                    Event.value("vm", ""));
+void printEvents(const timeline_batch &Batch, event_filter &Filter,
+                 timeline_printer &Printer) {
+  for (const vm_event &Event : Batch.Events)
+    Filter.learn(Event);
+  for (const vm_event &Event : Batch.Events)
+    if (Filter.matches(Event))
+      Printer.print(Event);
 }
 
-void printRow(const nlohmann::json &Event, std::int64_t First,
-              std::ostream &Out) {
-  double Milliseconds =
-      static_cast<double>(Event.value("us", std::int64_t{0}) - First) / 1000.0;
-  Out << std::right << std::fixed << std::setprecision(3)
-      << std::setw(TimeWidth) << Milliseconds << "  " << std::left
-      << std::setw(VmWidth) << Event.value("vm", "") << std::setw(KindWidth)
-      << Event.value("kind", "") << Event.value("request_id", "") << "  "
-      << Event.value("detail", "") << "\n";
+void follow(const ctl_options &Options, timeline_reader &Reader,
+            event_filter &Filter, std::ostream &Out) {
+  const os_clock Clock;
+  timeline_printer Printer(Out, Options.Json);
+  time_point End = time_point::max();
+  if (Options.Timeline.For)
+    End = Clock.now() + *Options.Timeline.For;
+  for (;;) {
+    bool Last = Clock.now() >= End;
+    timeline_batch Batch = Reader.read();
+    for (const vm_change &Change : Batch.Changes)
+      Printer.print(Change);
+    printEvents(Batch, Filter, Printer);
+    Out.flush();
+    if (Last)
+      return;
+    std::this_thread::sleep_until(std::min(End, Clock.now() + FollowPoll));
+  }
 }
 
 } // namespace
 
 void masticproxy::runTimelineCommand(const ctl_options &Options,
                                      std::ostream &Out) {
-  std::string Target = "/v1/timeline";
-  if (!Options.RequestId.empty())
-    Target += "?request=" + percentEncoded(Options.RequestId);
-  std::vector<nlohmann::json> Events;
-  std::string Unreached;
-  for (const vm_report &Report : askVms(Options, Target)) {
-    if (Report.Reached)
-      readLines(Report.Text, Events);
-    else
-      Unreached += " " + Report.Vm;
-  }
-  std::stable_sort(Events.begin(), Events.end(),
-                   [](const nlohmann::json &A, const nlohmann::json &B) {
-                     return orderOf(A) < orderOf(B);
-                   });
-  std::int64_t First =
-      Events.empty() ? 0 : Events.front().value("us", std::int64_t{0});
-  if (!Options.Json && !Events.empty())
-    Out << "milliseconds after the first event\n";
-  for (const nlohmann::json &Event : Events) {
-    if (Options.Json)
-      Out << Event.dump() << "\n";
-    else
-      printRow(Event, First, Out);
+  checkTimelineOptions(Options);
+  timeline_reader Reader = readerFor(Options);
+  const timeline_options &Timeline = Options.Timeline;
+  event_filter Filter(Options, os_clock().wallTime());
+  if (Timeline.Waterfall || !Timeline.SvgFile.empty()) {
+    showFanOut(Options, Reader, Out);
+  } else if (Timeline.Follow) {
+    follow(Options, Reader, Filter, Out);
+  } else {
+    timeline_printer Printer(Out, Options.Json);
+    printEvents(Reader.read(), Filter, Printer);
   }
-  if (!Unreached.empty())
-    throw ctl_error(ctl_exit::Unreachable, "no events from:" + Unreached);
+  reportUnreached(Reader);
 }
--- a/packages/ctl/masticproxy/src/Ctl/vm_reports.h
+++ b/packages/ctl/masticproxy/src/Ctl/vm_reports.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPROXY_CTL_VM_REPORTS_H
 #define MASTICPROXY_CTL_VM_REPORTS_H
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,10 @@
   std::string Text;
 };
 
+/// Asks the VM at \p Vm for \p Target.
+vm_report askVm(const std::string &Vm, std::string_view Target,
+                std::chrono::milliseconds Timeout);
+
 /// Asks every VM of \p Options for \p Target. \throws ctl_error where none is
 /// named.
 std::vector<vm_report> askVms(const ctl_options &Options,
