--- a/packages/ctl/masticproxy/src/Ctl/vm_reports.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/vm_reports.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Ctl/ctl_error.h"
 #include "masticproxy/src/Ctl/ctl_options.h"
+#include "masticproxy/src/Net/http_call.h"
 #include "masticproxy/src/Net/http_connection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -21,6 +22,13 @@
 
 } // namespace
 
+vm_report masticproxy::askVm(const std::string &Vm, std::string_view Target,
+                             std::chrono::milliseconds Timeout) {
+  http_request Request;
+  Request.Target = std::string(Target);
+  return reportOf(Vm, httpCall(Vm, std::move(Request), Timeout));
+}
+
 std::vector<vm_report> masticproxy::askVms(const ctl_options &Options,
                                            std::string_view Target) {
   if (Options.Vms.empty())
