See the effect of an edit of a profile: masticctl profile effect, diff, history

Cause: a newcomer could edit a profile and see that it was in force, but not what it did to requests; the counters are of the VM, not of the profile.

Ruled out: counters read by the client before and after (has to be asked before the edit, is lost with a restart, counts late requests wrongly); summaries as objects on the platform (it can be down); time series (see docs/design/effect.md).

Change: the engine tells with each outcome which version of which profile the request began under, how long it took, and how many attempts it needed. Each VM keeps counts for the last 4 versions in force of up to 256 profiles and shows them at /v1/effects. masticctl adds the VMs' latency buckets up, shows before and after the newest edit, since when each VM has it, and which VM told nothing; diff and history name the keys that differ.

Before and after: before, no command showed it.

Proof: three breaks in one trial build (every request counted under the newest version, in the summaries and in the engine; the last VM in place of the sum) made core_profile_summaries_test, core_query_account_test, ctl_effect_test and process_effect_test fail; they pass without. The property test of the summaries fails for three broken ones that it names.

Conclusion: requests that are refused before the engine, and a profile's description, are not in it; the design page says so.

--- a/packages/config/tests/settings_test.cpp
+++ b/packages/config/tests/settings_test.cpp
@@ -107,6 +107,19 @@
   cr_assert(Profile.MayRepeat);
 }
 
+Test(profiles, read_the_same_from_the_text_made_of_them) {
+  for (double Coverage : {1.0, 0.9, 1.0 / 3, 0.000001}) {
+    profile Profile;
+    Profile.Wait = std::chrono::milliseconds(1500);
+    Profile.Coverage = Coverage;
+    Profile.MayRepeat = Coverage < 1;
+    profile Again = readProfile(profileText(Profile), "p");
+    cr_assert(Again.Wait == Profile.Wait);
+    cr_assert(Again.Coverage == Profile.Coverage);
+    cr_assert(Again.MayRepeat == Profile.MayRepeat);
+  }
+}
+
 Test(profiles, refuse_a_coverage_above_one) {
   cr_assert_throw(readProfile("wait = \"1s\"\ncoverage = 1.5\n", "p"),
                   settings_error);
--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Claims/claim_wanted.h"
 #include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Query/engine_event.h"
+#include "masticproxy/src/Query/query_account.h"
 #include "masticproxy/src/Query/query_outcome.h"
 #include "masticproxy/src/Relay/relay_message.h"
 #include "masticproxy/src/Routing/attempt_kind.h"
@@ -40,6 +41,7 @@
   query_ticket Ticket = 0;
   std::string RequestId;
   query_outcome Outcome;
+  query_account Account = {};
 };
 
 /// \brief Ask a VM of another data centre to run an attempt.
--- /dev/null
+++ b/packages/core/masticproxy/src/Query/outcome_code.h
@@ -0,0 +1,15 @@
+#ifndef MASTICPROXY_QUERY_OUTCOME_CODE_H
+#define MASTICPROXY_QUERY_OUTCOME_CODE_H
+
+#include "masticproxy/src/Query/query_outcome.h"
+
+#include <string_view>
+
+namespace masticproxy {
+
+/// \returns the code of \p Outcome, as callers, counters and reports name it.
+std::string_view codeOf(const query_outcome &Outcome);
+
+} // namespace masticproxy
+
+#endif
--- a/packages/core/masticproxy/src/Query/profile.h
+++ b/packages/core/masticproxy/src/Query/profile.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_QUERY_PROFILE_H
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace masticproxy {
@@ -16,6 +17,8 @@
   double Coverage = 1.0;
   /// Whether a request is idempotent, so that it may run more than once.
   bool MayRepeat = false;
+  /// The platform's version of it; 0 where it came from no platform.
+  std::uint64_t Version = 0;
 };
 
 } // namespace masticproxy
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -318,7 +318,8 @@
   releaseClaim(Run->second, Outcome);
   std::string RequestId = Run->second.requestId();
   releasePlace(Run->first, Run->second, Outcome);
-  deliver(Run->first, std::move(RequestId), std::move(Outcome));
+  deliver(Run->first, std::move(RequestId), std::move(Outcome),
+          accountOf(Run->second));
   cancelOpen(Run->second);
   for (std::size_t I = 0; I < Run->second.snapshot().Shards.size(); ++I)
     Waiting.drop({Run->first, I});
@@ -334,6 +335,17 @@
                      std::holds_alternative<answered>(Outcome), Clock.now());
 }
 
+query_account query_engine::accountOf(const query_run &Run) const {
+  query_account Account;
+  Account.Profile = Run.rules().Name;
+  Account.Version = Run.rules().Version;
+  Account.TakenOn = true;
+  Account.Took = Clock.now() - (Run.deadline() - Run.rules().Wait);
+  Account.Shards = Run.snapshot().Shards.size();
+  Account.Attempts = Run.attempts();
+  return Account;
+}
+
 void query_engine::cancelOpen(query_run &Run) {
   for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
     cancelOpen(Run, I);
@@ -361,6 +373,12 @@
 }
 
 void query_engine::refuse(const query_arrived &Request, query_outcome Outcome) {
-  Commands.emplace_back(
-      deliver_outcome{Request.Ticket, Request.RequestId, std::move(Outcome)});
+  query_account Account;
+  if (const profile *Profile = Catalogue->findProfile(Request.Profile)) {
+    Account.Profile = Profile->Name;
+    Account.Version = Profile->Version;
+  }
+  Commands.emplace_back(deliver_outcome{Request.Ticket, Request.RequestId,
+                                        std::move(Outcome),
+                                        std::move(Account)});
 }
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -127,7 +127,8 @@
   void releasePlace(query_ticket Ticket, const query_run &Run,
                     const query_outcome &Outcome);
   void deliver(query_ticket Ticket, std::string RequestId,
-               query_outcome Outcome);
+               query_outcome Outcome, query_account Account = {});
+  query_account accountOf(const query_run &Run) const;
   static query_outcome outcomeOf(run_map::reference Run);
   void cancelOpen(query_run &Run);
   void cancelOpen(query_run &Run, std::size_t Shard);
--- a/packages/core/masticproxy/src/Query/query_engine_relay.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_relay.cpp
@@ -136,10 +136,10 @@
 }
 
 void query_engine::deliver(query_ticket Ticket, std::string RequestId,
-                           query_outcome Outcome) {
+                           query_outcome Outcome, query_account Account) {
   if (!relay_inbox::owns(Ticket)) {
-    Commands.push_back(
-        deliver_outcome{Ticket, std::move(RequestId), std::move(Outcome)});
+    Commands.push_back(deliver_outcome{Ticket, std::move(RequestId),
+                                       std::move(Outcome), std::move(Account)});
     return;
   }
   if (auto Reply = Inbox.finish(Ticket, std::move(Outcome)))
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -34,6 +34,7 @@
   Shards[Shard].Tried.push_back(std::move(Upstream));
   Shards[Shard].Open.push_back(Attempt);
   Shards[Shard].Attempted = true;
+  ++Attempts;
 }
 
 bool query_run::attemptAnswered(std::size_t Shard, attempt_id Attempt,
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -90,6 +90,9 @@
   /// \returns whether the request may start over on another snapshot.
   bool restartAllowed() const { return Profile.MayRepeat || nothingRan(); }
 
+  /// \returns the attempts sent so far, those before a restart included.
+  std::size_t attempts() const { return Attempts; }
+
   /// \returns whether every shard answered.
   bool complete() const;
 
@@ -128,6 +131,7 @@
   std::vector<shard_state> Shards;
   run_claim Claim;
   unsigned Generation = 0;
+  std::size_t Attempts = 0;
   bool SnapshotGone = false;
   /// An attempt of an earlier generation may have run.
   bool RanEarlier = false;
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Ctl/ctl_error.h"
 #include "masticproxy/src/Ctl/ctl_help.h"
 #include "masticproxy/src/Ctl/ctl_options.h"
+#include "masticproxy/src/Ctl/effect_command.h"
 #include "masticproxy/src/Ctl/object_command.h"
 #include "masticproxy/src/Ctl/query_command.h"
 #include "masticproxy/src/Ctl/status_command.h"
@@ -21,9 +22,12 @@
 void runCommand(const ctl_options &Options) {
   std::string Command = Options.Words.empty() ? "" : Options.Words.front();
   bool IsObject = Command == "profile" || Command == "index";
-  bool WantsStatus = Options.Words.size() > 1 && Options.Words[1] == "status";
+  std::string Verb = Options.Words.size() > 1 ? Options.Words[1] : "";
+  bool WantsStatus = Verb == "status";
   if (IsObject && WantsStatus)
     return runObjectStatusCommand(Command, Options, std::cout);
+  if (Command == "profile" && isProfileReport(Verb))
+    return runProfileReportCommand(Options, std::cout);
   if (IsObject)
     return runObjectCommand(Command, Options, std::cout);
   if (Command == "query")
--- a/packages/ctl/masticproxy/src/Ctl/ctl_help.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/ctl_help.cpp
@@ -33,11 +33,16 @@
      "       masticctl profile delete NAME --platform ADDRESS [--if-version "
      "N]\n"
      "       masticctl profile status NAME --vm ADDRESS[,ADDRESS...]\n"
+     "       masticctl profile effect NAME --vm ADDRESS[,ADDRESS...]\n"
+     "       masticctl profile diff NAME [FROM TO] --vm ADDRESS[,ADDRESS...]\n"
+     "       masticctl profile history NAME --vm ADDRESS[,ADDRESS...]\n"
      "\n"
      "Reads and edits profiles. With --if-version the edit is made only if "
      "the\n"
      "profile still has that version. status shows the version in force on\n"
-     "each VM.\n"},
+     "each VM. effect shows the requests of all VMs before and after the "
+     "newest\n"
+     "edit; diff and history what the last versions in force differ in.\n"},
     {"index",
      "Usage: masticctl index list --platform ADDRESS\n"
      "       masticctl index get NAME --platform ADDRESS\n"
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/effect_log.h"
 #include "masticproxy/src/Daemon/outcome_response.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Settings/node_settings.h"
@@ -76,9 +77,10 @@
 callers_thread::callers_thread(const node_settings &Settings,
                                const clock &Clock, counter_registry &Counters,
                                event_log &Events,
-                               const published<node_status> &Status)
+                               const published<node_status> &Status,
+                               const effect_log &Effects)
     : Settings(Settings), Clock(Clock), Counters(Counters), Events(Events),
-      Status(Status), Outcomes(RequestRingCapacity, [this] {
+      Status(Status), Effects(Effects), Outcomes(RequestRingCapacity, [this] {
         Loop.post([this] {
           Outcomes.drain([this](deliver_outcome O) { deliver(std::move(O)); });
         });
@@ -183,6 +185,8 @@
     return plainText(Counters.prometheusText());
   if (Path == "/v1/timeline")
     return timeline(Request);
+  if (Path == "/v1/effects")
+    return jsonText(Effects.toJson(targetParameter(Request.Target, "profile")));
   if (Path == "/v1/status") {
     std::shared_ptr<const node_status> Newest = Status.get();
     return jsonText(toJson(Newest ? *Newest : node_status{}));
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.h
@@ -17,6 +17,7 @@
 
 class clock;
 class counter_registry;
+class effect_log;
 class event_log;
 struct node_settings;
 
@@ -25,7 +26,8 @@
 public:
   callers_thread(const node_settings &Settings, const clock &Clock,
                  counter_registry &Counters, event_log &Events,
-                 const published<node_status> &Status);
+                 const published<node_status> &Status,
+                 const effect_log &Effects);
   ~callers_thread();
 
   /// Sets the ring that requests go to; before start().
@@ -64,6 +66,7 @@
   counter_registry &Counters;
   event_log &Events;
   const published<node_status> &Status;
+  const effect_log &Effects;
   loop_thread Loop;
   std::unique_ptr<http_server> Server;
   outcome_ring Outcomes;
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/daemon_log.h"
+#include "masticproxy/src/Daemon/effect_log.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Query/query_catalogue.h"
 #include "masticproxy/src/Settings/index_text.h"
@@ -38,6 +39,12 @@
   return Self;
 }
 
+profile readProfileOf(const configuration_record &Record) {
+  profile Profile = readProfile(Record.Value, Record.Name);
+  Profile.Version = Record.Version;
+  return Profile;
+}
+
 membership_timing timingOf(const node_settings &Settings) {
   return {Settings.SuspectAfter, Settings.DeadAfter,
           ForgetFactor * Settings.DeadAfter};
@@ -204,7 +211,7 @@
     if (Record.Kind == "profile" && Record.Deleted)
       Next->removeProfile(Record.Name);
     else if (Record.Kind == "profile")
-      Next->setProfile(readProfile(Record.Value, Record.Name));
+      Next->setProfile(readProfileOf(Record));
     else if (Record.Kind == "index" && Record.Deleted)
       Next->removeIndex(Record.Name);
     else if (Record.Kind == "index")
@@ -222,6 +229,8 @@
   Object.Version = Record.Version;
   Object.Since = Links.Clock.wallTime();
   Object.Rejected.clear();
+  if (Record.Kind == "profile")
+    noteEffect(Object);
   Links.Events.add("configuration_in_force", "",
                    Record.Kind + " " + Record.Name + " version " +
                        std::to_string(Record.Version));
@@ -230,6 +239,12 @@
   return true;
 }
 
+void control_duty::noteEffect(const object_in_force &Object) {
+  const profile *Profile = Catalogue->findProfile(Object.Name);
+  Links.Effects.inForce(Object.Name, Object.Version, Object.Since,
+                        Profile ? profileText(*Profile) : "");
+}
+
 void control_duty::publishCatalogue() {
   tellEngine(catalogue_changed{Catalogue});
 }
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.h
@@ -51,6 +51,8 @@
   void beatToOtherDataCentres();
   platform_contact contact() const;
   bool platformReached() const;
+  /// Starts to count what becomes of requests under the version now in force.
+  void noteEffect(const object_in_force &Object);
   void publishCatalogue();
   void publishGrant();
   void publishRemotes();
--- a/packages/daemon/masticproxy/src/Daemon/control_links.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_links.h
@@ -11,6 +11,7 @@
 
 class clock;
 class counter_registry;
+class effect_log;
 class event_log;
 struct node_settings;
 
@@ -20,6 +21,7 @@
   const clock &Clock;
   counter_registry &Counters;
   event_log &Events;
+  effect_log &Effects;
   /// Grows with each start of the process.
   std::uint64_t Incarnation;
   platform_event_ring &FromPlatform;
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -1,7 +1,9 @@
 #include "masticproxy/src/Daemon/engine_thread.h"
 
 #include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/effect_log.h"
 #include "masticproxy/src/Net/event_log.h"
+#include "masticproxy/src/Query/outcome_code.h"
 
 #include <thread>
 
@@ -9,21 +11,6 @@
 
 namespace {
 
-struct outcome_name {
-  std::string_view operator()(const answered &) { return "answered"; }
-  std::string_view operator()(const not_run &) { return "not_run"; }
-  std::string_view operator()(const outcome_unknown &) {
-    return "outcome_unknown";
-  }
-  std::string_view operator()(const too_late &) { return "too_late"; }
-  std::string_view operator()(const unknown_profile &) {
-    return "unknown_profile";
-  }
-  std::string_view operator()(const unknown_index &) { return "unknown_index"; }
-  std::string_view operator()(const condemned &) { return "condemned"; }
-  std::string_view operator()(const bad_request &) { return "bad_request"; }
-};
-
 std::string_view kindLabel(attempt_kind Kind) {
   switch (Kind) {
   case attempt_kind::First:
@@ -39,9 +26,10 @@
 } // namespace
 
 engine_thread::engine_thread(const clock &Clock, engine_limits Limits,
-                             counter_registry &Counters, event_log &Events)
+                             counter_registry &Counters, event_log &Events,
+                             effect_log &Effects)
     : Engine(Clock, std::move(Limits)), Counters(Counters), Events(Events),
-      Timer(Loop.context()),
+      Effects(Effects), Timer(Loop.context()),
       Queries(RequestRingCapacity,
               [this] {
                 Loop.post([this] {
@@ -134,9 +122,10 @@
 }
 
 void engine_thread::carryOut(const deliver_outcome &Command) {
-  std::string_view Name = std::visit(outcome_name{}, Command.Outcome);
+  std::string_view Name = codeOf(Command.Outcome);
   Counters.get("outcomes_total", "outcome=\"" + std::string(Name) + "\"").add();
   Events.add("outcome", Command.RequestId, Name);
+  Effects.ended(Command.Account, Command.Outcome);
   // The callers' thread never waits for this one, so its ring drains.
   while (!Callers->push(Command))
     std::this_thread::yield();
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -12,13 +12,15 @@
 namespace masticproxy {
 
 class counter_registry;
+class effect_log;
 class event_log;
 
 /// \brief Runs the query engine: carries events in and commands out.
 class engine_thread {
 public:
   engine_thread(const clock &Clock, engine_limits Limits,
-                counter_registry &Counters, event_log &Events);
+                counter_registry &Counters, event_log &Events,
+                effect_log &Effects);
 
   /// Sets the rings that commands go to; before start().
   void connect(upstream_command_ring &Upstreams, outcome_ring &Callers,
@@ -62,6 +64,7 @@
   query_engine Engine;
   counter_registry &Counters;
   event_log &Events;
+  effect_log &Effects;
   boost::asio::steady_timer Timer;
   std::optional<time_point> TimerSetFor;
   query_ring Queries;
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -6,6 +6,7 @@
 #include "masticproxy/src/Daemon/control_actor.h"
 #include "masticproxy/src/Daemon/control_duty.h"
 #include "masticproxy/src/Daemon/daemon_log.h"
+#include "masticproxy/src/Daemon/effect_log.h"
 #include "masticproxy/src/Daemon/engine_thread.h"
 #include "masticproxy/src/Daemon/peers_thread.h"
 #include "masticproxy/src/Daemon/platform_thread.h"
@@ -50,9 +51,9 @@
         Events(Timeline, Settings.TimelineEvents),
         Platform(Settings.PlatformAddress, Settings.PlatformCallTimeout,
                  PlatformStop.get_token()),
-        Engine(Clock, engineLimits(Settings), Counters, Events),
+        Engine(Clock, engineLimits(Settings), Counters, Events, Effects),
         Upstreams(Clock, Counters, Grant),
-        Callers(Settings, Clock, Counters, Events, Status),
+        Callers(Settings, Clock, Counters, Events, Status, Effects),
         Relay(Clock, Timeline, Counters, Events, Settings.Name, Incarnation),
         Peers(Settings.PeersAddress, Counters),
         PlatformDuty(Platform, Clock, Settings.PlatformWatchWait, Counters),
@@ -64,6 +65,7 @@
               Clock,
               Counters,
               Events,
+              Effects,
               Incarnation,
               FromPlatform,
               FromPeers,
@@ -103,6 +105,7 @@
   hybrid_clock Timeline;
   counter_registry Counters;
   event_log Events;
+  effect_log Effects;
   published<node_status> Status;
   published<connection_grant> Grant;
   std::stop_source PlatformStop;
