Draw the effect of each profile's newest edit as one HTML page: masticctl report

Cause: an operator who shows the effect of an edit to a mentor has only the table of one profile.

Ruled out: a script or style sheet from outside (the page must be whole when it is sent on); a second set of figures (the page takes the rows of profile effect).

Change: report FILE asks the VMs once and writes a page with each profile's differences, times in force, figures, the distribution of latencies, and bars for coverage, extra load, outcomes and refusals, as inline SVG. All text is escaped. Where no VM is reached nothing is written. The test of the commands' help has report added to its list.

Not done: it was not looked at, as there is no Chromium here. Upstreams by state are not in it, as no VM reports them.

--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -8,6 +8,7 @@
 #include "masticproxy/src/Ctl/effect_command.h"
 #include "masticproxy/src/Ctl/object_command.h"
 #include "masticproxy/src/Ctl/query_command.h"
+#include "masticproxy/src/Ctl/report_command.h"
 #include "masticproxy/src/Ctl/status_command.h"
 #include "masticproxy/src/Ctl/timeline_command.h"
 #include "masticproxy/src/Settings/settings_error.h"
@@ -32,6 +33,8 @@
     return runObjectCommand(Command, Options, std::cout);
   if (Command == "query")
     return runQueryCommand(Options, std::cout);
+  if (Command == "report")
+    return runReportCommand(Options);
   if (Command == "status")
     return runStatusCommand(Options, std::cout);
   if (Command == "timeline")
--- a/packages/ctl/masticproxy/src/Ctl/ctl_help.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/ctl_help.cpp
@@ -61,6 +61,10 @@
      "\n"
      "Prints the events of all VMs in causal order; those of one request with\n"
      "--request.\n"},
+    {"report", "Usage: masticctl report FILE --vm ADDRESS[,ADDRESS...]\n"
+               "\n"
+               "Writes one HTML page: each profile before and after its newest "
+               "edit.\n"},
     {"check", "Usage: masticctl check settings|profile|index FILE\n"
               "\n"
               "Checks a file without a server and names all its errors.\n"},
@@ -77,6 +81,7 @@
          "  index      read and edit index maps, and see them in force\n"
          "  status     what each VM reports\n"
          "  timeline   events of all VMs in order\n"
+         "  report     a page of all profiles before and after an edit\n"
          "  check      check a settings, profile or index file\n" +
          std::string(Common);
 }
--- a/packages/ctl/masticproxy/src/Ctl/effect_command.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/effect_command.cpp
@@ -29,15 +29,6 @@
   return Vms;
 }
 
-void throwIfUnreached(std::span<const vm_effect> Vms) {
-  std::string Unreached;
-  for (const vm_effect &Vm : Vms)
-    if (!Vm.Unreachable.empty())
-      Unreached += " " + Vm.Vm;
-  if (!Unreached.empty())
-    throw ctl_error(ctl_exit::Unreachable, "nothing known from:" + Unreached);
-}
-
 /// \returns the versions remembered. \throws ctl_error where there is none.
 std::vector<profile_version> neededVersions(std::span<const vm_effect> Vms,
                                             const std::string &Name) {
--- a/packages/ctl/masticproxy/src/Ctl/effect_report.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/effect_report.cpp
@@ -1,5 +1,6 @@
 #include "masticproxy/src/Ctl/effect_report.h"
 
+#include "masticproxy/src/Ctl/ctl_error.h"
 #include "masticproxy/src/Ctl/vm_reports.h"
 
 #include <nlohmann/json.hpp>
@@ -100,3 +101,27 @@
   mergeVersion(Vms, Effect.BeforeVersion, Effect.Before);
   return Effect;
 }
+
+void masticproxy::throwIfUnreached(std::span<const vm_effect> Vms) {
+  std::string Unreached;
+  for (const vm_effect &Vm : Vms)
+    if (!Vm.Unreachable.empty())
+      Unreached += " " + Vm.Vm;
+  if (!Unreached.empty())
+    throw ctl_error(ctl_exit::Unreachable, "nothing known from:" + Unreached);
+}
+
+std::set<std::string>
+masticproxy::profilesIn(std::span<const vm_report> Reports) {
+  std::set<std::string> Names;
+  for (const vm_report &Report : Reports) {
+    nlohmann::json Root = nlohmann::json::parse(Report.Text, nullptr, false);
+    if (!Report.Reached || !Root.is_object() || !Root.contains("profiles"))
+      continue;
+    for (const nlohmann::json &Profile : Root["profiles"])
+      if (Profile.is_object() && Profile.contains("name") &&
+          Profile["name"].is_string())
+        Names.insert(Profile["name"].get<std::string>());
+  }
+  return Names;
+}
--- a/packages/ctl/masticproxy/src/Ctl/effect_report.h
+++ b/packages/ctl/masticproxy/src/Ctl/effect_report.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -48,6 +49,12 @@
 /// nothing where none has one.
 std::optional<profile_effect> effectOf(std::span<const vm_effect> Vms);
 
+/// \returns the names of the profiles in answers to `/v1/effects`.
+std::set<std::string> profilesIn(std::span<const vm_report> Reports);
+
+/// \throws ctl_error that names each VM that told nothing.
+void throwIfUnreached(std::span<const vm_effect> Vms);
+
 } // namespace masticproxy
 
 #endif
--- a/packages/ctl/masticproxy/src/Ctl/effect_text.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/effect_text.cpp
@@ -60,30 +60,26 @@
   return Mean ? number(*Mean * Percent, 1, " %") : NoValue;
 }
 
-/// \brief Prints rows of two values.
-struct table {
-  std::ostream &Out;
-
-  void row(const std::string &Name, const std::string &Before,
-           const std::string &After) const {
-    Out << "  " << std::left << std::setw(NameWidth) << Name << std::right
-        << std::setw(ValueWidth) << Before << std::setw(ValueWidth) << After
-        << "\n";
-  }
+using counts = std::map<std::string, std::uint64_t>;
+
+/// Adds a row for each key of either side.
+void addCounts(const std::string &Prefix, const counts &Before,
+               const counts &After, std::vector<effect_row> &Rows) {
+  counts All = Before;
+  All.insert(After.begin(), After.end());
+  auto Text = [](const counts &Counts, const std::string &Key) {
+    auto Found = Counts.find(Key);
+    return std::to_string(Found == Counts.end() ? 0 : Found->second);
+  };
+  for (const auto &[Key, Count] : All)
+    Rows.push_back({Prefix + Key, Text(Before, Key), Text(After, Key)});
+}
 
-  using counts = std::map<std::string, std::uint64_t>;
-  void rows(const std::string &Prefix, const counts &Before,
-            const counts &After) const {
-    counts All = Before;
-    All.insert(After.begin(), After.end());
-    auto Text = [](const counts &Counts, const std::string &Key) {
-      auto Found = Counts.find(Key);
-      return std::to_string(Found == Counts.end() ? 0 : Found->second);
-    };
-    for (const auto &[Key, Count] : All)
-      row(Prefix + Key, Text(Before, Key), Text(After, Key));
-  }
-};
+void printRow(const effect_row &Row, std::ostream &Out) {
+  Out << "  " << std::left << std::setw(NameWidth) << Row.Name << std::right
+      << std::setw(ValueWidth) << Row.Before << std::setw(ValueWidth)
+      << Row.After << "\n";
+}
 
 template <typename Value> nlohmann::json orNull(std::optional<Value> Number) {
   return Number ? nlohmann::json(*Number) : nlohmann::json();
@@ -142,22 +138,28 @@
   return Rows;
 }
 
-void masticproxy::printEffect(const profile_effect &Effect, std::ostream &Out) {
+std::vector<effect_row> masticproxy::effectRows(const profile_effect &Effect) {
   const version_summary &Before = Effect.Before;
   const version_summary &After = Effect.After;
-  table Table{Out};
-  Table.row("", "before", "after");
-  Table.row("requests", std::to_string(Before.Requests),
-            std::to_string(After.Requests));
-  Table.row("latency p50", number(quantileMs(Before, Median), 1, " ms"),
-            number(quantileMs(After, Median), 1, " ms"));
-  Table.row("latency p99", number(quantileMs(Before, Tail), 1, " ms"),
-            number(quantileMs(After, Tail), 1, " ms"));
-  Table.row("coverage, mean", coverageText(Before), coverageText(After));
-  Table.row("attempts per shard", number(attemptsPerShard(Before), 3, ""),
-            number(attemptsPerShard(After), 3, ""));
-  Table.rows("", Before.Outcomes, After.Outcomes);
-  Table.rows("not_run: ", Before.Refusals, After.Refusals);
+  std::vector<effect_row> Rows{
+      {"requests", std::to_string(Before.Requests),
+       std::to_string(After.Requests)},
+      {"latency p50", number(quantileMs(Before, Median), 1, " ms"),
+       number(quantileMs(After, Median), 1, " ms")},
+      {"latency p99", number(quantileMs(Before, Tail), 1, " ms"),
+       number(quantileMs(After, Tail), 1, " ms")},
+      {"coverage, mean", coverageText(Before), coverageText(After)},
+      {"attempts per shard", number(attemptsPerShard(Before), 3, ""),
+       number(attemptsPerShard(After), 3, "")}};
+  addCounts("", Before.Outcomes, After.Outcomes, Rows);
+  addCounts("not_run: ", Before.Refusals, After.Refusals, Rows);
+  return Rows;
+}
+
+void masticproxy::printEffect(const profile_effect &Effect, std::ostream &Out) {
+  printRow({"", "before", "after"}, Out);
+  for (const effect_row &Row : effectRows(Effect))
+    printRow(Row, Out);
 }
 
 void masticproxy::printVms(std::span<const vm_effect> Vms,
--- a/packages/ctl/masticproxy/src/Ctl/effect_text.h
+++ b/packages/ctl/masticproxy/src/Ctl/effect_text.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace masticproxy {
 
@@ -13,6 +14,16 @@
 struct profile_version;
 struct vm_effect;
 
+/// \brief One figure before and after an edit.
+struct effect_row {
+  std::string Name;
+  std::string Before;
+  std::string After;
+};
+
+/// \returns the figures that printEffect() prints.
+std::vector<effect_row> effectRows(const profile_effect &Effect);
+
 /// \returns \p Since1970 as a date and time in UTC with milliseconds.
 std::string utcText(std::chrono::microseconds Since1970);
 
--- a/packages/ctl/tests/ctl_test.cpp
+++ b/packages/ctl/tests/ctl_test.cpp
@@ -77,7 +77,7 @@
 
 Test(command_line, every_command_has_a_help_of_its_own) {
   for (const char *Command :
-       {"query", "profile", "index", "status", "timeline", "check"}) {
+       {"query", "profile", "index", "status", "timeline", "report", "check"}) {
     std::string Usage = std::string("Usage: masticctl ") + Command;
     cr_assert(ctlHelp(Command).starts_with(Usage), "%s", Command);
     cr_assert(ctlHelp().find(std::string("\n  ") + Command) !=
