--- a/packages/ctl/masticproxy/src/Ctl/effect_report.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/effect_report.cpp
@@ -82,6 +82,7 @@
     for (const profile_version &Version : Vm.Versions)
       ByVersion.emplace(Version.Version, Version);
   std::vector<profile_version> Versions;
+  Versions.reserve(ByVersion.size());
   for (auto &[Number, Version] : ByVersion)
     Versions.push_back(std::move(Version));
   return Versions;
