--- a/packages/ctl/masticproxy/src/Ctl/ctl_help.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/ctl_help.cpp
@@ -33,11 +33,16 @@
      "       masticctl profile delete NAME --platform ADDRESS [--if-version "
      "N]\n"
      "       masticctl profile status NAME --vm ADDRESS[,ADDRESS...]\n"
+     "       masticctl profile effect NAME --vm ADDRESS[,ADDRESS...]\n"
+     "       masticctl profile diff NAME [FROM TO] --vm ADDRESS[,ADDRESS...]\n"
+     "       masticctl profile history NAME --vm ADDRESS[,ADDRESS...]\n"
      "\n"
      "Reads and edits profiles. With --if-version the edit is made only if "
      "the\n"
      "profile still has that version. status shows the version in force on\n"
-     "each VM.\n"},
+     "each VM. effect shows the requests of all VMs before and after the "
+     "newest\n"
+     "edit; diff and history what the last versions in force differ in.\n"},
     {"index",
      "Usage: masticctl index list --platform ADDRESS\n"
      "       masticctl index get NAME --platform ADDRESS\n"
@@ -68,6 +73,10 @@
      "from now, or a wall time such as 2026-12-04T11:30:00Z. --follow goes on\n"
      "with new events until interrupted. --waterfall prints each attempt of a\n"
      "request with its beginning and end, --svg draws the same into FILE.\n"},
+    {"report", "Usage: masticctl report FILE --vm ADDRESS[,ADDRESS...]\n"
+               "\n"
+               "Writes one HTML page: each profile before and after its newest "
+               "edit.\n"},
     {"check", "Usage: masticctl check settings|profile|index FILE\n"
               "\n"
               "Checks a file without a server and names all its errors.\n"},
@@ -84,6 +93,7 @@
          "  index      read and edit index maps, and see them in force\n"
          "  status     what each VM reports\n"
          "  timeline   events of all VMs in order\n"
+         "  report     a page of all profiles before and after an edit\n"
          "  check      check a settings, profile or index file\n" +
          std::string(Common);
 }
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -13,13 +13,15 @@
 namespace masticproxy {
 
 class counter_registry;
+class effect_log;
 class event_log;
 
 /// \brief Runs the query engine: carries events in and commands out.
 class engine_thread {
 public:
   engine_thread(const clock &Clock, engine_limits Limits,
-                counter_registry &Counters, event_log &Events);
+                counter_registry &Counters, event_log &Events,
+                effect_log &Effects);
 
   /// Sets the rings that commands go to; before start().
   void connect(upstream_command_ring &Upstreams, outcome_ring &Callers,
@@ -65,6 +67,7 @@
   counter_registry &Counters;
   event_log &Events;
   attempt_log Attempts;
+  effect_log &Effects;
   boost::asio::steady_timer Timer;
   std::optional<time_point> TimerSetFor;
   query_ring Queries;
