Fuzz what a caller sends to the HTTP front

Cause: frames, settings, profiles and maps had fuzzers, but the bytes that anybody can send to a VM had none; the code was callable through a socket only.

Change: http_request_parser (limits and rejections of a connection's bytes) is split out of http_session, and query_request (target, names, id and body to query_arrived) out of callers_thread; both without a socket. fuzz_request reads bytes whole and cut in two and compares, and holds the id unchanged on its way to upstream and caller. tools/fuzz.sh runs it like the others, 20000 runs.

Two faults were found on the way, by reading and by the new test, not by the fuzzer: - The 400 for a bad profile or index name did not repeat x-request-id, as docs/PROTOCOLS.md says: query_request_test failed before, passes now. - After malformed bytes the session asked Beast's parser for its keep-alive before there was a header, which asserts: a build with asserts would end. A trial of 3 lines with the parser, without NDEBUG, aborted there. A rejected connection is now never kept alive, and the parser isn't asked.

Ruled out: comparing the rejection where the connection ends within a request. The parser tells of a bad field in the first bytes it gets and later waits for the whole header, so that one side may say 400 and the other just end; nothing ran in either case.

--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -3,9 +3,9 @@
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/outcome_response.h"
+#include "masticproxy/src/Daemon/query_request.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Settings/node_settings.h"
-#include "masticproxy/src/Settings/object_name.h"
 
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
@@ -15,11 +15,9 @@
 
 namespace {
 
-constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusMethodNotAllowed = 405;
 constexpr unsigned StatusUnavailable = 503;
-constexpr std::size_t MaxRequestIdBytes = 128;
 
 /// Layout of a UUID of version 7: milliseconds since 1970 in the leading
 /// bytes, then the version in the upper half of the next byte.
@@ -28,9 +26,6 @@
 constexpr std::uint8_t UuidVersion7 = 0x70;
 constexpr std::uint8_t LowNibble = 0x0f;
 
-constexpr std::string_view QueryPrefix = "/v1/indexes/";
-constexpr std::string_view QuerySuffix = "/query";
-
 http_response plainText(std::string Body) {
   http_response Response;
   Response.Headers.emplace_back("content-type", "text/plain; version=0.0.4");
@@ -45,17 +40,6 @@
   return Response;
 }
 
-/// The index named in `/v1/indexes/NAME/query`, or "".
-std::string indexIn(std::string_view Path) {
-  bool Fits = Path.size() > QueryPrefix.size() + QuerySuffix.size() &&
-              Path.starts_with(QueryPrefix) && Path.ends_with(QuerySuffix);
-  if (!Fits)
-    return {};
-  Path.remove_prefix(QueryPrefix.size());
-  Path.remove_suffix(QuerySuffix.size());
-  return percentDecoded(Path);
-}
-
 http_response methodNotAllowed(std::string_view Allowed) {
   http_response Response =
       errorResponse(StatusMethodNotAllowed, "method_not_allowed",
@@ -64,13 +48,6 @@
   return Response;
 }
 
-bool isPrintable(std::string_view Text) {
-  for (char C : Text)
-    if (C <= ' ' || C > '~')
-      return false;
-  return true;
-}
-
 } // namespace
 
 callers_thread::callers_thread(const node_settings &Settings,
@@ -121,8 +98,7 @@
 
 void callers_thread::handle(http_request Request,
                             const http_server::responder &Respond) {
-  bool IsQuery = !indexIn(targetPath(Request.Target)).empty();
-  if (!IsQuery)
+  if (!isQueryTarget(Request.Target))
     return Respond(handleRead(Request));
   if (Request.Method != "POST")
     return Respond(methodNotAllowed("POST"));
@@ -131,32 +107,17 @@
 
 void callers_thread::handleQuery(http_request Request,
                                  const http_server::responder &Respond) {
-  query_arrived Query;
-  Query.Ticket = NextTicket++;
-  Query.Index = indexIn(targetPath(Request.Target));
-  Query.Profile = targetParameter(Request.Target, "profile");
-  Query.RequestId = findHeader(Request.Headers, "x-request-id");
-  Query.Body = std::move(Request.Body);
-  if (Query.RequestId.empty())
-    Query.RequestId = newRequestId();
-  if (Query.RequestId.size() > MaxRequestIdBytes ||
-      !isPrintable(Query.RequestId))
-    return Respond(errorResponse(StatusBadRequest, "bad_request",
-                                 "x-request-id needs 1 to 128 printable "
-                                 "characters without spaces",
-                                 ""));
-  if (!isObjectName(Query.Profile) || !isObjectName(Query.Index))
-    return Respond(errorResponse(
-        StatusBadRequest, "bad_request",
-        "the query string needs profile=NAME; a name of a profile or an index "
-        "is " +
-            std::string(ObjectNameRule),
-        Query.RequestId));
+  std::string RequestId(findHeader(Request.Headers, "x-request-id"));
+  if (RequestId.empty())
+    RequestId = newRequestId();
+  auto Read = readQueryRequest(std::move(Request), RequestId);
+  if (auto *Rejection = std::get_if<http_response>(&Read))
+    return Respond(std::move(*Rejection));
   if (!configured())
-    return Respond(
-        toCallerResponse(Query.RequestId, not_run{whyNotConfigured()}));
-  std::string RequestId = Query.RequestId;
-  query_ticket Ticket = Query.Ticket;
+    return Respond(toCallerResponse(RequestId, not_run{whyNotConfigured()}));
+  auto &Query = std::get<query_arrived>(Read);
+  query_ticket Ticket = NextTicket++;
+  Query.Ticket = Ticket;
   Pending.emplace(Ticket, Respond);
   if (Engine->push(Query))
     return;
--- /dev/null
+++ b/packages/net/masticproxy/src/Net/http_request_parser.cpp
@@ -0,0 +1,42 @@
+#include "masticproxy/src/Net/http_request_parser.h"
+
+using namespace masticproxy;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t MaxHeaderBytes = 16384;
+
+http_response rejection(unsigned Status, std::string_view Code,
+                        std::string_view Message) {
+  http_response Response;
+  Response.Status = Status;
+  Response.Close = true;
+  Response.Headers.emplace_back("content-type", "application/json");
+  Response.Body = "{\"code\":\"" + std::string(Code) + "\",\"message\":\"" +
+                  std::string(Message) + "; the request was not run\"}\n";
+  return Response;
+}
+
+} // namespace
+
+void internal::setLimits(http_request_parser &Parser, std::size_t BodyBytes) {
+  Parser.body_limit(BodyBytes);
+  Parser.header_limit(MaxHeaderBytes);
+}
+
+std::optional<http_response>
+internal::rejectionOf(const boost::system::error_code &Error) {
+  if (Error == http::error::body_limit)
+    return rejection(413, "body_too_large", "the body is above the limit");
+  if (Error == http::error::header_limit)
+    return rejection(431, "header_too_large",
+                     "the header is above 16384 bytes");
+  bool Malformed =
+      Error && Error.category() ==
+                   http::make_error_code(http::error::bad_version).category();
+  if (Malformed && Error != http::error::end_of_stream &&
+      Error != http::error::partial_message)
+    return rejection(400, "malformed_http", "this is no HTTP/1.1 request");
+  return std::nullopt;
+}
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::uint32_t MaxHeaderBytes = 16384;
-
 /// How long, and how far, a rejected request is read before its connection is
 /// closed.
 constexpr std::chrono::seconds RejectedReadTime{2};
@@ -56,8 +54,7 @@
 
 void http_session::read() {
   Parser.emplace();
-  Parser->body_limit(Limits.BodyBytes);
-  Parser->header_limit(MaxHeaderBytes);
+  setLimits(*Parser, Limits.BodyBytes);
   Stream.expires_after(Limits.IdleTimeout);
   http::async_read(
       Stream, Buffer, *Parser,
@@ -66,16 +63,10 @@
 }
 
 void http_session::onRead(const boost::system::error_code &Error) {
-  if (Error == http::error::body_limit)
-    return reject(413, "body_too_large", "the body is above the limit");
-  if (Error == http::error::header_limit)
-    return reject(431, "header_too_large", "the header is above 16384 bytes");
-  bool Malformed =
-      Error && Error.category() ==
-                   http::make_error_code(http::error::bad_version).category();
-  if (Malformed && Error != http::error::end_of_stream &&
-      Error != http::error::partial_message)
-    return reject(400, "malformed_http", "this is no HTTP/1.1 request");
+  if (auto Rejection = rejectionOf(Error)) {
+    Rejected = true;
+    return respond(std::move(*Rejection));
+  }
   if (Error)
     return close();
   Busy = true;
@@ -87,7 +78,8 @@
 }
 
 void http_session::respond(http_response Response) {
-  bool KeepAlive = !Closing && Parser->keep_alive();
+  // The parser knows of no keep-alive before it has read a whole header.
+  bool KeepAlive = !Closing && !Rejected && Parser->keep_alive();
   Out = toBeast(std::move(Response), KeepAlive);
   Stream.expires_after(Limits.IdleTimeout);
   http::async_write(Stream, *Out,
@@ -102,18 +94,6 @@
                     });
 }
 
-void http_session::reject(unsigned Status, std::string_view Code,
-                          std::string_view Message) {
-  Rejected = true;
-  http_response Response;
-  Response.Status = Status;
-  Response.Close = true;
-  Response.Headers.emplace_back("content-type", "application/json");
-  Response.Body = "{\"code\":\"" + std::string(Code) + "\",\"message\":\"" +
-                  std::string(Message) + "; the request was not run\"}\n";
-  respond(std::move(Response));
-}
-
 void http_session::readOutRejected() {
   // Closing with bytes unread would reset the connection, and the caller could
   // lose the response that says why.
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -2,12 +2,12 @@
 #define MASTICPROXY_NET_HTTP_SESSION_H
 
 #include "masticproxy/src/Net/http_convert.h"
+#include "masticproxy/src/Net/http_request_parser.h"
 #include "masticproxy/src/Net/http_server.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <memory>
 #include <optional>
@@ -37,7 +37,6 @@
   void read();
   void onRead(const boost::system::error_code &Error);
   void respond(http_response Response);
-  void reject(unsigned Status, std::string_view Code, std::string_view Message);
   void readOutRejected();
   void discard(std::size_t Already);
 
@@ -45,9 +44,7 @@
   http_server_limits Limits;
   http_server::handler Handler;
   boost::beast::flat_buffer Buffer;
-  std::optional<
-      boost::beast::http::request_parser<boost::beast::http::string_body>>
-      Parser;
+  std::optional<http_request_parser> Parser;
   std::optional<beast_response> Out;
   boost::asio::steady_timer SetupTimer;
   bool Busy = false;
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -8,7 +8,7 @@
 cmake --build build/fuzz
 FOUND=build/fuzz/found
 mkdir -p "$FOUND"
-for TARGET in frame settings index; do
+for TARGET in frame settings index request; do
   # New inputs of one run must not change the next one's verdict.
   CORPUS=$(mktemp -d)
   cp fuzz/corpus/$TARGET/* "$CORPUS"
