Take back an index map as `masticctl index get` printed it

Cause: `get` prints a line "# version N" above the object. So a map could not be read, edited and written back.

Change: withoutVersionLine() takes the line off for both kinds. The guard by that version was there and now works for maps too.

Before: edits.of_an_index_map_take_what_get_printed failed without the change.

Left: the map is printed as one line of JSON, which is hard to edit by hand.

--- a/packages/ctl/masticproxy/src/Ctl/object_command.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/object_command.cpp
@@ -173,7 +173,7 @@
   if (Kind == "profile")
     readProfile(Text, Name);
   else
-    readIndexMap(Text, Name);
+    readIndexMap(withoutVersionLine(Text), Name);
 }
 
 void masticproxy::checkObjectName(std::string_view Kind,
--- a/packages/ctl/masticproxy/src/Ctl/object_editor.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/object_editor.cpp
@@ -122,14 +122,9 @@
 
 std::string masticproxy::markEdit(std::string_view Kind, std::string_view Text,
                                   std::string_view EditId) {
+  std::string Marked(withoutVersionLine(Text));
   if (Kind != "profile")
-    return std::string(Text);
-  std::string Marked(Text);
-  // What `get` printed above the text is no part of it.
-  if (baseVersionIn(Marked)) {
-    std::size_t End = Marked.find('\n');
-    Marked.erase(0, End == std::string::npos ? End : End + 1);
-  }
+    return Marked;
   // The mark of an earlier edit comes along when its text is edited further.
   std::size_t Old = Marked.rfind(MarkPrefix);
   if (Old != std::string::npos && (Old == 0 || Marked[Old - 1] == '\n'))
@@ -139,6 +134,13 @@
   return Marked.append(MarkPrefix).append(EditId).append("\n");
 }
 
+std::string_view masticproxy::withoutVersionLine(std::string_view Text) {
+  if (!baseVersionIn(Text))
+    return Text;
+  std::size_t End = Text.find('\n');
+  return End == std::string_view::npos ? "" : Text.substr(End + 1);
+}
+
 std::optional<std::uint64_t> masticproxy::baseVersionIn(std::string_view Text) {
   if (!Text.starts_with(VersionLinePrefix))
     return std::nullopt;
--- a/packages/ctl/masticproxy/src/Ctl/object_editor.h
+++ b/packages/ctl/masticproxy/src/Ctl/object_editor.h
@@ -13,7 +13,7 @@
 
 namespace masticproxy {
 
-/// Start of the comment line before a profile that `get` prints.
+/// Start of the line before a profile or index map that `get` prints.
 inline constexpr std::string_view VersionLinePrefix = "# version ";
 
 /// \brief The edit took effect.
@@ -85,10 +85,14 @@
   platform_api &Platform;
 };
 
-/// \returns \p Text of an object of \p Kind, marked with \p EditId.
+/// \returns \p Text of an object of \p Kind as it is written: without the line
+/// that `get` prints above it, and a profile marked with \p EditId.
 std::string markEdit(std::string_view Kind, std::string_view Text,
                      std::string_view EditId);
 
+/// \returns \p Text without the line that `get` prints above it.
+std::string_view withoutVersionLine(std::string_view Text);
+
 /// \returns the version in the first line of \p Text, as `get` prints it, or
 /// nothing where there is none.
 std::optional<std::uint64_t> baseVersionIn(std::string_view Text);
--- a/packages/ctl/tests/ctl_test.cpp
+++ b/packages/ctl/tests/ctl_test.cpp
@@ -115,6 +115,16 @@
   cr_assert(markEdit("profile", "# version 5", "x") == "# edit x\n");
 }
 
+Test(edits, of_an_index_map_take_what_get_printed) {
+  std::string_view Map = R"({"snapshot":"s","shards":[{"id":"0","replicas":[
+      {"address":"127.0.0.1:1","data_centre":"a","slots":1,"connections":1}
+      ]}]})";
+  std::string Printed = "# version 5\n" + std::string(Map);
+  cr_assert(markEdit("index", Printed, "x") == Map);
+  checkObjectText("index", Map, "i");
+  checkObjectText("index", Printed, "i");
+}
+
 Test(edits, longer_than_the_platform_holds_are_never_sent) {
   scripted_platform Platform;
   edit_result Result = edit(Platform, std::string(MaxObjectValueBytes, '#'));
