--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -7,6 +7,7 @@
 #include "masticproxy/src/Daemon/query_request.h"
 #include "masticproxy/src/Daemon/timeline_line.h"
 #include "masticproxy/src/Net/event_log.h"
+#include "masticproxy/src/Net/http_status.h"
 #include "masticproxy/src/Settings/node_settings.h"
 
 #include <boost/uuid/random_generator.hpp>
@@ -19,10 +20,6 @@
 
 namespace {
 
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusMethodNotAllowed = 405;
-constexpr unsigned StatusUnavailable = 503;
-
 /// Layout of a UUID of version 7: milliseconds since 1970 in the leading
 /// bytes, then the version in the upper half of the next byte.
 constexpr std::size_t UuidTimeBytes = 6;
--- a/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
@@ -1,19 +1,13 @@
 #include "masticproxy/src/Daemon/outcome_response.h"
 
+#include "masticproxy/src/Net/http_status.h"
+
 #include <nlohmann/json.hpp>
 
 using namespace masticproxy;
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusUnprocessable = 422;
-constexpr unsigned StatusBadGateway = 502;
-constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned StatusGatewayTimeout = 504;
-
 nlohmann::json coverageJson(const coverage &Coverage) {
   return {{"answered", Coverage.Answered},
           {"asked", Coverage.Asked},
--- a/packages/daemon/masticproxy/src/Daemon/query_request.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/query_request.cpp
@@ -1,13 +1,13 @@
 #include "masticproxy/src/Daemon/query_request.h"
 
 #include "masticproxy/src/Daemon/outcome_response.h"
+#include "masticproxy/src/Net/http_status.h"
 #include "masticproxy/src/Settings/object_name.h"
 
 using namespace masticproxy;
 
 namespace {
 
-constexpr unsigned StatusBadRequest = 400;
 constexpr std::size_t MaxRequestIdBytes = 128;
 constexpr std::string_view QueryPrefix = "/v1/indexes/";
 constexpr std::string_view QuerySuffix = "/query";
--- a/packages/daemon/masticproxy/src/Daemon/upstream_protocol.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstream_protocol.cpp
@@ -1,13 +1,11 @@
 #include "masticproxy/src/Daemon/upstream_protocol.h"
 
+#include "masticproxy/src/Net/http_status.h"
+
 using namespace masticproxy;
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusGone = 410;
-constexpr unsigned StatusUnavailable = 503;
-
 /// An upstream states in `x-not-run` that it did not run the request; without
 /// it nothing may be assumed.
 attempt_failure failureOf(const http_response &Response) {
--- a/packages/net/masticproxy/src/Net/http_platform.cpp
+++ b/packages/net/masticproxy/src/Net/http_platform.cpp
@@ -1,6 +1,7 @@
 #include "masticproxy/src/Net/http_platform.h"
 
 #include "masticproxy/src/Net/http_call.h"
+#include "masticproxy/src/Net/http_status.h"
 
 #include <nlohmann/json.hpp>
 
@@ -8,10 +9,6 @@
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusConflict = 409;
-
 platform_object readObject(const nlohmann::json &Node) {
   platform_object Object;
   Object.Kind = Node.at("kind").get<std::string>();
