--- a/packages/testing/tests/timeline_test.cpp
+++ b/packages/testing/tests/timeline_test.cpp
@@ -7,7 +7,6 @@
 
 #include <csignal>
 #include <fstream>
-#include <regex>
 #include <set>
 #include <sstream>
 #include <thread>
@@ -16,6 +15,36 @@
 
 namespace {
 
+/// \returns whether \p Text is a row's bar, such as ` |  ===  |`.
+bool isBar(const std::string &Text) {
+  std::size_t Begin = Text.find_first_not_of(' ');
+  std::size_t End = Text.find('|', Begin + 1);
+  return Begin != std::string::npos && Text[Begin] == '|' &&
+         End != std::string::npos &&
+         Text.find_first_not_of("= ", Begin + 1) == End;
+}
+
+/// \returns the upstreams of the waterfall's rows that end with an answer, each
+/// with a bar: `first ADDRESS answered | ==== |`.
+std::set<std::string> answeringUpstreams(const std::string &Waterfall) {
+  std::set<std::string> Upstreams;
+  std::istringstream Lines(Waterfall);
+  for (std::string Line; std::getline(Lines, Line);) {
+    std::istringstream Words(Line);
+    std::string Word;
+    std::string Upstream;
+    std::string Ended;
+    std::string Bar;
+    while (Words >> Word && Word != "first" && Word != "retry" &&
+           Word != "hedge")
+      continue;
+    if (Words >> Upstream >> Ended && std::getline(Words, Bar) &&
+        Ended == "answered" && isBar(Bar))
+      Upstreams.insert(Upstream);
+  }
+  return Upstreams;
+}
+
 constexpr const char *Lookup =
     "wait = \"2s\"\ncoverage = 1.0\nmay_repeat = true\n";
 constexpr int Unreachable = 1;
@@ -91,11 +120,7 @@
             Output.c_str());
   cr_assert(has(Output, "outcome answered"), "%s", Output.c_str());
   // A line with an answer for each shard, by one of the shard's upstreams.
-  std::regex Row("(first|retry|hedge) +(\\S+) +answered +\\|[ =]+\\|");
-  std::set<std::string> Upstreams;
-  for (std::sregex_iterator I(Output.begin(), Output.end(), Row), End; I != End;
-       ++I)
-    Upstreams.insert((*I)[2]);
+  std::set<std::string> Upstreams = answeringUpstreams(Output);
   for (unsigned Shard = 0; Shard < 4; ++Shard) {
     std::size_t Known = 0;
     for (unsigned Replica = 0; Replica < 3; ++Replica)
