--- a/tools/check.sh
+++ b/tools/check.sh
@@ -41,6 +41,7 @@
 cmake --build build/tsan --target masticproxyd masticctl platform_stub upstream_stub masticproxy_load
 # Criterion itself does not run under the thread sanitizer, so the tests are
 # the release build's and the processes that they start are instrumented.
+RED=$(./tools/known_red.sh --tsan)
 REPORTS=$PWD/build/tsan/reports
 rm -rf "$REPORTS"
 mkdir -p "$REPORTS"
