Give the leaving test's probes 50 ms again

Change: the timeout is the poll's interval again; that callers wait where no VM is ready, which was the hang's mend, stays.

--- a/packages/testing/tests/leaving_test.cpp
+++ b/packages/testing/tests/leaving_test.cpp
@@ -22,7 +22,6 @@
 namespace {
 
 constexpr milliseconds BalancerPoll{50};
-constexpr milliseconds ProbeTimeout{500};
 constexpr milliseconds CallTimeout{5000};
 constexpr unsigned Callers = 12;
 
@@ -65,7 +64,7 @@
     for (std::size_t I = 0; I < Vms.size(); ++I) {
       http_request Request;
       Request.Target = "/readyz";
-      Probes[I]->exchange(std::move(Request), ProbeTimeout,
+      Probes[I]->exchange(std::move(Request), BalancerPoll,
                           [this, I](const exchange_result &R) {
                             auto *Response = std::get_if<http_response>(&R);
                             Ready[I] = Response && Response->Status == 200;
