Keep one type for the hybrid time, one name for an attempt's kind

Behaviour is unchanged.

Cause: the wire package had a copy of hybrid_time, which each sender and receiver turned into the other field by field; the names of attempt_kind stood in the engine's thread and in the attempt log; on(relay_failed) repeated what on(attempt_failed) does with the query after a failed attempt.

Change: hybrid_time stands in core's Base module, which net and wire both use; toString(attempt_kind); query_engine::goOnAfter serves both failures, as a relay's end is turned into the same attempt_failure anyway. frame_test names hybrid_time where it named frame_stamp; its assertions are the same.

Ruled out: one function for the two codecs' envelopes (the types differ in each line); one histogram for routing and reports (one fades and the other adds up over VMs, with other edges).

--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -107,22 +107,28 @@
     return;
   noteEnd(*Record, &Event.Failure);
   noteDeath(Event);
-  if (query_run *Run = findRun(*Record)) {
-    Run->attemptFailed(Record->Shard, Event.Attempt, Event.Failure);
-    if (Event.Failure == attempt_failure::SnapshotGone && !Record->Cancelled)
-      Run->snapshotGone();
-    // A suspect takes the shards that wait first.
-    if (Event.UpstreamDied)
-      Waiting.add({Record->Ticket, Record->Shard},
-                  Run->snapshot().Shards[Record->Shard].Replicas,
-                  Run->rules().Name);
-    else if (!restartIfDue(Record->Ticket, *Run))
-      startShard(Record->Ticket, *Run, Record->Shard);
-    finishIfOver(Record->Ticket);
-  }
+  goOnAfter(*Record, Event);
   startWaiting(Waiting.takeFor(Record->Upstream));
 }
 
+void query_engine::goOnAfter(const attempt_record &Record,
+                             const attempt_failed &Event) {
+  query_run *Run = findRun(Record);
+  if (!Run)
+    return;
+  Run->attemptFailed(Record.Shard, Event.Attempt, Event.Failure);
+  if (Event.Failure == attempt_failure::SnapshotGone && !Record.Cancelled)
+    Run->snapshotGone();
+  // A suspect takes the shards that wait first.
+  if (Event.UpstreamDied)
+    Waiting.add({Record.Ticket, Record.Shard},
+                Run->snapshot().Shards[Record.Shard].Replicas,
+                Run->rules().Name);
+  else if (!restartIfDue(Record.Ticket, *Run))
+    startShard(Record.Ticket, *Run, Record.Shard);
+  finishIfOver(Record.Ticket);
+}
+
 void query_engine::on(catalogue_changed Event) {
   Catalogue = std::move(Event.Catalogue);
   Configured = true;
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -138,6 +138,9 @@
   void awaitClaim(query_ticket Ticket, query_run &Run);
   void releaseClaim(const query_run &Run, const query_outcome &Outcome);
   void tellDrains();
+  /// Lets the shard of an attempt that ended without a result try again, or
+  /// its query end.
+  void goOnAfter(const attempt_record &Record, const attempt_failed &Event);
   void noteDeath(const attempt_failed &Event);
   void endCondemned(query_fingerprint Fingerprint);
   /// \returns the shards in the order in which a run asks them.
--- a/packages/core/masticproxy/src/Query/query_engine_relay.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_relay.cpp
@@ -73,15 +73,8 @@
   if (!Record)
     return;
   Router.attemptFailed(Record->Upstream, Event.End, Clock.now());
-  if (query_run *Run = findRun(*Record)) {
-    Run->attemptFailed(Record->Shard, Event.Attempt,
-                       attemptFailureOf(Event.End));
-    if (Event.End == relay_end::RefusedSnapshot && !Record->Cancelled)
-      Run->snapshotGone();
-    if (!restartIfDue(Record->Ticket, *Run))
-      startShard(Record->Ticket, *Run, Record->Shard);
-    finishIfOver(Record->Ticket);
-  }
+  goOnAfter(*Record,
+            attempt_failed{Event.Attempt, attemptFailureOf(Event.End)});
 }
 
 void query_engine::on(const relay_arrived &Event) {
--- a/packages/core/masticproxy/src/Routing/attempt_kind.h
+++ b/packages/core/masticproxy/src/Routing/attempt_kind.h
@@ -1,6 +1,8 @@
 #ifndef MASTICPROXY_ROUTING_ATTEMPT_KIND_H
 #define MASTICPROXY_ROUTING_ATTEMPT_KIND_H
 
+#include <string_view>
+
 namespace masticproxy {
 
 /// \brief Why an attempt at a shard is made.
@@ -13,6 +15,9 @@
   Hedge,
 };
 
+/// \returns the kind's name in counters and in the time line.
+std::string_view toString(attempt_kind Kind);
+
 } // namespace masticproxy
 
 #endif
--- a/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
@@ -7,18 +7,6 @@
 
 namespace {
 
-std::string_view nameOf(attempt_kind Kind) {
-  switch (Kind) {
-  case attempt_kind::First:
-    return "first";
-  case attempt_kind::Retry:
-    return "retry";
-  case attempt_kind::Hedge:
-    return "hedge";
-  }
-  return "unknown";
-}
-
 std::string_view nameOf(const attempt_failed &Event) {
   if (Event.UpstreamDied)
     return "upstream_died";
@@ -43,7 +31,7 @@
   begin("attempt_sent",
         {Command.RequestId,
          {Command.Attempt, Command.Shard, Command.Upstream,
-          std::string(nameOf(Command.Kind)), /*End=*/"", /*Profile=*/""}});
+          std::string(toString(Command.Kind)), /*End=*/"", /*Profile=*/""}});
 }
 
 void attempt_log::sent(const send_relay &Command) {
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -9,22 +9,6 @@
 
 using namespace masticproxy;
 
-namespace {
-
-std::string_view kindLabel(attempt_kind Kind) {
-  switch (Kind) {
-  case attempt_kind::First:
-    return "kind=\"first\"";
-  case attempt_kind::Retry:
-    return "kind=\"retry\"";
-  case attempt_kind::Hedge:
-    return "kind=\"hedge\"";
-  }
-  return "kind=\"unknown\"";
-}
-
-} // namespace
-
 engine_thread::engine_thread(const clock &Clock, engine_limits Limits,
                              counter_registry &Counters, event_log &Events,
                              effect_log &Effects)
@@ -99,7 +83,8 @@
 }
 
 void engine_thread::carryOut(const send_attempt &Command) {
-  Counters.get("attempts_total", kindLabel(Command.Kind)).add();
+  std::string Label = "kind=\"" + std::string(toString(Command.Kind)) + "\"";
+  Counters.get("attempts_total", Label).add();
   Attempts.sent(Command);
   attempt_id Attempt = Command.Attempt;
   if (Upstreams->push(Command))
--- a/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
@@ -71,13 +71,11 @@
   if (!Sender)
     Sender = std::make_shared<internal::peer_sender>(
         Loop.context(), Command.PeerAddress, Counters);
-  hybrid_time Now = Timeline.tick();
-  Sender->send(makeFrame(
-      encodePeerMessage(*Command.Message, {Now.Microseconds, Now.Counter})));
+  Sender->send(makeFrame(encodePeerMessage(*Command.Message, Timeline.tick())));
 }
 
 void peers_thread::receive(const peer_frame &Frame) {
-  Timeline.receive({Frame.Stamp.Microseconds, Frame.Stamp.Counter});
+  Timeline.receive(Frame.Stamp);
   Counters.get("peer_messages_received_total").add();
   // Every message is sent again in some later form, so a full ring drops it.
   if (!Control->push(Frame.Message))
--- a/packages/daemon/masticproxy/src/Daemon/relay_connection.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/relay_connection.cpp
@@ -88,7 +88,7 @@
       lose();
       return false;
     }
-    Timeline.receive({Frame->Stamp.Microseconds, Frame->Stamp.Counter});
+    Timeline.receive(Frame->Stamp);
     Handlers.Receive(std::move(Frame->Message));
     if (Closed)
       return false;
@@ -102,10 +102,8 @@
     Queue.pop_front();
     if (!Handlers.BeforeWrite(Message))
       continue;
-    hybrid_time Now = Timeline.tick();
-    Writing = makeFrame(
-        encodeRelayFrame({{Now.Microseconds, Now.Counter}, std::move(Message)}),
-        frame_channel::Relay);
+    Writing = makeFrame(encodeRelayFrame({Timeline.tick(), std::move(Message)}),
+                        frame_channel::Relay);
   }
   if (Writing.empty() || Closed || !Connected || WriteStarted)
     return;
--- a/packages/net/masticproxy/src/Net/hybrid_clock.h
+++ b/packages/net/masticproxy/src/Net/hybrid_clock.h
@@ -2,29 +2,12 @@
 #define MASTICPROXY_NET_HYBRID_CLOCK_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Base/hybrid_time.h"
 
-#include <cstdint>
 #include <mutex>
-#include <tuple>
 
 namespace masticproxy {
 
-/// \brief A time stamp that orders causes before effects, whatever the skew
-/// between the VMs' clocks.
-struct hybrid_time {
-  /// Wall time in microseconds since 1970, never running back.
-  std::int64_t Microseconds = 0;
-  /// Orders events within the same microsecond.
-  std::uint32_t Counter = 0;
-
-  bool operator==(const hybrid_time &) const = default;
-
-  bool operator<(const hybrid_time &Other) const {
-    return std::tie(Microseconds, Counter) <
-           std::tie(Other.Microseconds, Other.Counter);
-  }
-};
-
 /// \brief A hybrid logical clock; may be used by several threads.
 class hybrid_clock {
 public:
--- a/packages/wire/masticproxy/src/Wire/peer_codec.cpp
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.cpp
@@ -178,7 +178,7 @@
 } // namespace
 
 std::string masticproxy::encodePeerMessage(const peer_message &Message,
-                                           const frame_stamp &Stamp) {
+                                           const hybrid_time &Stamp) {
   FlatBufferBuilder Out;
   auto [Type, Body] = std::visit(packer{Out}, Message);
   wire::Stamp Packed(Stamp.Microseconds, Stamp.Counter);
--- a/packages/wire/masticproxy/src/Wire/peer_codec.h
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.h
@@ -13,7 +13,7 @@
 /// \returns \p Message, stamped with \p Stamp, as the payload of a frame.
 /// \sa makeFrame
 std::string encodePeerMessage(const peer_message &Message,
-                              const frame_stamp &Stamp);
+                              const hybrid_time &Stamp);
 
 /// \returns the frame in \p Payload, or frame_error::Malformed.
 std::variant<peer_frame, frame_error> decodePeerFrame(std::string_view Payload);
--- a/packages/wire/masticproxy/src/Wire/peer_frame.h
+++ b/packages/wire/masticproxy/src/Wire/peer_frame.h
@@ -1,14 +1,14 @@
 #ifndef MASTICPROXY_WIRE_PEER_FRAME_H
 #define MASTICPROXY_WIRE_PEER_FRAME_H
 
+#include "masticproxy/src/Base/hybrid_time.h"
 #include "masticproxy/src/Cluster/peer_message.h"
-#include "masticproxy/src/Wire/frame_stamp.h"
 
 namespace masticproxy {
 
-/// \brief One message of a control connection with its time stamp.
+/// \brief One message of a control connection with the sender's time.
 struct peer_frame {
-  frame_stamp Stamp;
+  hybrid_time Stamp;
   peer_message Message;
 };
 
--- a/packages/wire/masticproxy/src/Wire/relay_frame.h
+++ b/packages/wire/masticproxy/src/Wire/relay_frame.h
@@ -1,14 +1,14 @@
 #ifndef MASTICPROXY_WIRE_RELAY_FRAME_H
 #define MASTICPROXY_WIRE_RELAY_FRAME_H
 
+#include "masticproxy/src/Base/hybrid_time.h"
 #include "masticproxy/src/Relay/relay_message.h"
-#include "masticproxy/src/Wire/frame_stamp.h"
 
 namespace masticproxy {
 
-/// \brief One message of a relay connection with its time stamp.
+/// \brief One message of a relay connection with the sender's time.
 struct relay_frame {
-  frame_stamp Stamp;
+  hybrid_time Stamp;
   relay_message Message;
 };
 
--- a/packages/wire/tests/frame_test.cpp
+++ b/packages/wire/tests/frame_test.cpp
@@ -80,7 +80,7 @@
 Test(frames, carry_any_message_in_any_pieces) {
   cr_assert(rc::check([] {
     peer_message Message = anyMessage();
-    frame_stamp Stamp{*rc::gen::arbitrary<std::int64_t>(),
+    hybrid_time Stamp{*rc::gen::arbitrary<std::int64_t>(),
                       *rc::gen::arbitrary<std::uint32_t>()};
     std::string Frame = makeFrame(encodePeerMessage(Message, Stamp));
     frame_reader Reader;
