--- a/packages/ctl/masticproxy/src/Ctl/ctl_options.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/ctl_options.cpp
@@ -1,5 +1,6 @@
 #include "masticproxy/src/Ctl/ctl_options.h"
 
+#include "masticproxy/src/Base/comma_list.h"
 #include "masticproxy/src/Ctl/ctl_error.h"
 
 #include <getopt.h>
@@ -12,15 +13,6 @@
 
 namespace {
 
-std::vector<std::string> split(const std::string &Text) {
-  std::vector<std::string> Parts;
-  std::istringstream In(Text);
-  for (std::string Part; std::getline(In, Part, ',');)
-    if (!Part.empty())
-      Parts.push_back(Part);
-  return Parts;
-}
-
 std::uint64_t readNumber(const std::string &Option, const std::string &Text) {
   std::uint64_t Number = 0;
   const char *End = Text.data() + Text.size();
@@ -63,7 +55,8 @@
   while ((Found = getopt_long(ArgCount, Args, "hV", Known, nullptr)) != -1) {
     switch (Found) {
     case 'm':
-      Options.Vms = split(optarg);
+      Options.Vms = splitCommaList(optarg);
+      std::erase(Options.Vms, "");
       break;
     case 'p':
       Options.Platform = optarg;
--- a/packages/ctl/masticproxy/src/Ctl/effect_command.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/effect_command.cpp
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Ctl/ctl_options.h"
 #include "masticproxy/src/Ctl/effect_report.h"
 #include "masticproxy/src/Ctl/effect_text.h"
+#include "masticproxy/src/Ctl/effects_answer.h"
 #include "masticproxy/src/Ctl/object_command.h"
 #include "masticproxy/src/Ctl/vm_reports.h"
 #include "masticproxy/src/Net/http_message.h"
@@ -22,11 +23,8 @@
 
 std::vector<vm_effect> askEffects(const ctl_options &Options,
                                   const std::string &Name) {
-  std::vector<vm_effect> Vms;
   std::string Target = "/v1/effects?profile=" + percentEncoded(Name);
-  for (const vm_report &Report : askVms(Options, Target))
-    Vms.push_back(readEffect(Report, Name));
-  return Vms;
+  return effectsIn(readAnswers(askVms(Options, Target)), Name);
 }
 
 /// \returns the versions remembered. \throws ctl_error where there is none.
--- a/packages/ctl/masticproxy/src/Ctl/effect_plot.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/effect_plot.cpp
@@ -1,7 +1,7 @@
 #include "masticproxy/src/Ctl/effect_plot.h"
 
 #include "masticproxy/src/Ctl/effect_report.h"
-#include "masticproxy/src/Ctl/report_page.h"
+#include "masticproxy/src/Ctl/markup_text.h"
 
 #include <algorithm>
 #include <cmath>
@@ -78,7 +78,7 @@
 }
 
 void addText(double X, double Y, const std::string &Text, std::ostream &Out) {
-  Out << "<text x=\"" << X << "\" y=\"" << Y << "\">" << htmlText(Text)
+  Out << "<text x=\"" << X << "\" y=\"" << Y << "\">" << markupText(Text)
       << "</text>\n";
 }
 
--- a/packages/ctl/masticproxy/src/Ctl/effect_report.h
+++ b/packages/ctl/masticproxy/src/Ctl/effect_report.h
@@ -5,16 +5,12 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace masticproxy {
 
-struct vm_report;
-
 /// \brief What one VM remembers of one profile.
 struct vm_effect {
   std::string Vm;
@@ -37,10 +33,6 @@
   version_summary After;
 };
 
-/// \returns what \p Report, an answer to `/v1/effects`, says of the profile
-/// called \p Name.
-vm_effect readEffect(const vm_report &Report, std::string_view Name);
-
 /// \returns the versions that any VM remembers, oldest first, each as the
 /// first VM that remembers it has it.
 std::vector<profile_version> versionsOf(std::span<const vm_effect> Vms);
@@ -49,9 +41,6 @@
 /// nothing where none has one.
 std::optional<profile_effect> effectOf(std::span<const vm_effect> Vms);
 
-/// \returns the names of the profiles in answers to `/v1/effects`.
-std::set<std::string> profilesIn(std::span<const vm_report> Reports);
-
 /// \throws ctl_error that names each VM that told nothing.
 void throwIfUnreached(std::span<const vm_effect> Vms);
 
--- a/packages/ctl/masticproxy/src/Ctl/effect_text.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/effect_text.cpp
@@ -1,11 +1,11 @@
 #include "masticproxy/src/Ctl/effect_text.h"
 
 #include "masticproxy/src/Ctl/effect_report.h"
+#include "masticproxy/src/Ctl/time_text.h"
 #include "masticproxy/src/Settings/profile_difference.h"
 
 #include <nlohmann/json.hpp>
 
-#include <ctime>
 #include <iomanip>
 #include <ostream>
 #include <sstream>
@@ -20,8 +20,7 @@
 constexpr double Median = 0.5;
 constexpr double Tail = 0.99;
 constexpr double Percent = 100;
-constexpr std::int64_t MicrosecondsInSecond = 1000000;
-constexpr std::int64_t MicrosecondsInMillisecond = 1000;
+constexpr std::size_t MillisecondDigits = 3;
 constexpr const char *NoValue = "-";
 
 /// \returns \p Sum / \p Count, or nothing where that has no value.
@@ -99,18 +98,6 @@
 
 } // namespace
 
-std::string masticproxy::utcText(std::chrono::microseconds Since1970) {
-  std::time_t Seconds = Since1970.count() / MicrosecondsInSecond;
-  std::tm Parts{};
-  gmtime_r(&Seconds, &Parts);
-  std::ostringstream Out;
-  Out << std::put_time(&Parts, "%FT%T") << "." << std::setfill('0')
-      << std::setw(3)
-      << Since1970.count() % MicrosecondsInSecond / MicrosecondsInMillisecond
-      << "Z";
-  return Out.str();
-}
-
 void masticproxy::printDifferences(const profile_version &Left,
                                    const profile_version &Right,
                                    std::ostream &Out) {
@@ -169,7 +156,7 @@
     if (!Vm.Unreachable.empty())
       Out << "unreachable: " << Vm.Unreachable << "\n";
     else if (const profile_version *Found = Vm.find(Version))
-      Out << "since " << utcText(Found->Since) << "\n";
+      Out << "since " << wallTimeText(Found->Since, MillisecondDigits) << "\n";
     else if (Vm.Versions.empty())
       Out << "not in force\n";
     else
--- a/packages/ctl/masticproxy/src/Ctl/effect_text.h
+++ b/packages/ctl/masticproxy/src/Ctl/effect_text.h
@@ -1,7 +1,7 @@
 #ifndef MASTICPROXY_CTL_EFFECT_TEXT_H
 #define MASTICPROXY_CTL_EFFECT_TEXT_H
 
-#include <chrono>
+#include <cstdint>
 #include <iosfwd>
 #include <nlohmann/json_fwd.hpp>
 #include <span>
@@ -24,9 +24,6 @@
 /// \returns the figures that printEffect() prints.
 std::vector<effect_row> effectRows(const profile_effect &Effect);
 
-/// \returns \p Since1970 as a date and time in UTC with milliseconds.
-std::string utcText(std::chrono::microseconds Since1970);
-
 /// Prints a line for each key whose value differs between the two versions.
 void printDifferences(const profile_version &Left, const profile_version &Right,
                       std::ostream &Out);
--- a/packages/ctl/masticproxy/src/Ctl/report_page.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/report_page.cpp
@@ -3,6 +3,7 @@
 #include "masticproxy/src/Ctl/effect_plot.h"
 #include "masticproxy/src/Ctl/effect_report.h"
 #include "masticproxy/src/Ctl/effect_text.h"
+#include "masticproxy/src/Ctl/markup_text.h"
 
 #include <sstream>
 
@@ -25,7 +26,7 @@
 )";
 
 std::string cell(std::string_view Text) {
-  return "<td>" + htmlText(Text) + "</td>";
+  return "<td>" + markupText(Text) + "</td>";
 }
 
 std::string figuresTable(const profile_effect &Effect) {
@@ -37,7 +38,7 @@
 }
 
 std::string heading(const std::string &Name, const profile_effect &Effect) {
-  std::string Html = "<h2>" + htmlText(Name) + "</h2>\n<p>Version " +
+  std::string Html = "<h2>" + markupText(Name) + "</h2>\n<p>Version " +
                      std::to_string(Effect.AfterVersion);
   if (Effect.BeforeVersion == 0)
     return Html + ", no earlier one is remembered</p>\n";
@@ -47,25 +48,6 @@
 
 } // namespace
 
-std::string masticproxy::htmlText(std::string_view Text) {
-  std::string Escaped;
-  for (char C : Text) {
-    if (C == '&')
-      Escaped += "&amp;";
-    else if (C == '<')
-      Escaped += "&lt;";
-    else if (C == '>')
-      Escaped += "&gt;";
-    else if (C == '"')
-      Escaped += "&quot;";
-    else if (C == '\'')
-      Escaped += "&#39;";
-    else
-      Escaped.push_back(C);
-  }
-  return Escaped;
-}
-
 std::string masticproxy::profileSection(const std::string &Name,
                                         std::span<const vm_effect> Vms) {
   std::optional<profile_effect> Effect = effectOf(Vms);
@@ -76,8 +58,9 @@
   if (Versions.size() > 1)
     printDifferences(*std::prev(Versions.end(), 2), Versions.back(), Text);
   printVms(Vms, Effect->AfterVersion, Text);
-  return heading(Name, *Effect) + "<pre>" + htmlText(Text.str()) + "</pre>\n" +
-         figuresTable(*Effect) + latencyPlot(*Effect) + sharesPlot(*Effect);
+  return heading(Name, *Effect) + "<pre>" + markupText(Text.str()) +
+         "</pre>\n" + figuresTable(*Effect) + latencyPlot(*Effect) +
+         sharesPlot(*Effect);
 }
 
 std::string masticproxy::reportPage(std::string_view Sections) {
--- a/packages/ctl/masticproxy/src/Ctl/report_page.h
+++ b/packages/ctl/masticproxy/src/Ctl/report_page.h
@@ -9,9 +9,6 @@
 
 struct vm_effect;
 
-/// \returns \p Text with the characters escaped that HTML gives a meaning.
-std::string htmlText(std::string_view Text);
-
 /// \returns the HTML of one profile: what its newest edit changed, since when,
 /// and its requests before and after; "" where no VM remembers it.
 std::string profileSection(const std::string &Name,
--- a/packages/ctl/masticproxy/src/Ctl/time_text.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/time_text.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t FractionDigits = 6;
 constexpr std::size_t LongestText = 40;
 
 /// \returns the number that \p Text begins with, of \p Least to \p Most digits,
@@ -43,13 +42,13 @@
   if (!Text.starts_with('.') || !Text.ends_with('Z'))
     return std::nullopt;
   std::string Digits(Text.substr(1, Text.size() - 2));
-  bool Fits = !Digits.empty() && Digits.size() <= FractionDigits;
+  bool Fits = !Digits.empty() && Digits.size() <= MicrosecondDigits;
   if (!Fits)
     return std::nullopt;
-  Digits.resize(FractionDigits, '0');
+  Digits.resize(MicrosecondDigits, '0');
   std::string_view Rest = Digits;
   std::optional<int> Fraction =
-      takeNumber(Rest, FractionDigits, FractionDigits);
+      takeNumber(Rest, MicrosecondDigits, MicrosecondDigits);
   return Fraction ? std::optional(microseconds(*Fraction)) : std::nullopt;
 }
 
@@ -97,12 +96,12 @@
          Seconds + *Fraction;
 }
 
-std::string masticproxy::wallTimeText(microseconds Time) {
+std::string masticproxy::wallTimeText(microseconds Time, std::size_t Digits) {
   auto Days = std::chrono::floor<std::chrono::days>(Time);
   std::chrono::year_month_day Date{std::chrono::sys_days(Days)};
   std::chrono::hh_mm_ss Clock(Time - Days);
   std::array<char, LongestText> Text{};
-  std::snprintf(Text.data(), Text.size(), "%04d-%02u-%02uT%02d:%02d:%02d.%06dZ",
+  std::snprintf(Text.data(), Text.size(), "%04d-%02u-%02uT%02d:%02d:%02d.%06d",
                 static_cast<int>(Date.year()),
                 static_cast<unsigned>(Date.month()),
                 static_cast<unsigned>(Date.day()),
@@ -110,5 +109,6 @@
                 static_cast<int>(Clock.minutes().count()),
                 static_cast<int>(Clock.seconds().count()),
                 static_cast<int>(Clock.subseconds().count()));
-  return Text.data();
+  std::string Whole = Text.data();
+  return Whole.substr(0, Whole.size() - MicrosecondDigits + Digits) + "Z";
 }
--- a/packages/ctl/masticproxy/src/Ctl/time_text.h
+++ b/packages/ctl/masticproxy/src/Ctl/time_text.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_CTL_TIME_TEXT_H
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -16,8 +17,13 @@
 /// none.
 std::optional<std::chrono::microseconds> readWallTime(const std::string &Text);
 
-/// \returns \p Time, since 1970, as readWallTime() reads it.
-std::string wallTimeText(std::chrono::microseconds Time);
+/// Decimals of a second in a wall time to the microsecond.
+inline constexpr std::size_t MicrosecondDigits = 6;
+
+/// \returns \p Time, since 1970, as readWallTime() reads it, cut off after
+/// \p Digits decimals, of which there are 1 to MicrosecondDigits.
+std::string wallTimeText(std::chrono::microseconds Time,
+                         std::size_t Digits = MicrosecondDigits);
 
 } // namespace masticproxy
 
--- a/packages/ctl/masticproxy/src/Ctl/timeline_command.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/timeline_command.cpp
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Ctl/ctl_options.h"
 #include "masticproxy/src/Ctl/event_filter.h"
 #include "masticproxy/src/Ctl/fan_out.h"
+#include "masticproxy/src/Ctl/text_file.h"
 #include "masticproxy/src/Ctl/timeline_printer.h"
 #include "masticproxy/src/Ctl/timeline_reader.h"
 #include "masticproxy/src/Ctl/waterfall_svg.h"
@@ -11,7 +12,6 @@
 #include "masticproxy/src/Net/os_clock.h"
 
 #include <algorithm>
-#include <fstream>
 #include <ostream>
 #include <thread>
 
@@ -25,8 +25,8 @@
   if (Options.Vms.empty())
     throw ctl_error(ctl_exit::Usage, "--vm ADDRESS[,ADDRESS...] is required");
   return {Options.Vms, Options.RequestId,
-          [&Options](const std::string &Vm, const std::string &Target) {
-            return askVm(Vm, Target, Options.Timeout);
+          [&Options](std::span<const vm_request> Requests) {
+            return askEach(Requests, Options.Timeout);
           }};
 }
 
@@ -39,14 +39,6 @@
     throw ctl_error(ctl_exit::Unreachable, "no events from:" + Unreached);
 }
 
-void writeSvg(const std::string &Path, const fan_out &Request) {
-  std::ofstream File(Path);
-  File << waterfallSvg(Request);
-  File.close();
-  if (!File)
-    throw ctl_error(ctl_exit::Usage, "can't write " + Path);
-}
-
 void showFanOut(const ctl_options &Options, timeline_reader &Reader,
                 std::ostream &Out) {
   fan_out Request = toFanOut(Reader.read().Events);
@@ -60,7 +52,7 @@
   if (Options.Timeline.Waterfall)
     Out << waterfallText(Request);
   if (const std::string &Path = Options.Timeline.SvgFile; !Path.empty()) {
-    writeSvg(Path, Request);
+    writeTextFile(Path, waterfallSvg(Request));
     Out << "wrote " << Path << "\n";
   }
 }
--- a/packages/ctl/masticproxy/src/Ctl/timeline_options.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/timeline_options.cpp
@@ -1,11 +1,10 @@
 #include "masticproxy/src/Ctl/timeline_options.h"
 
+#include "masticproxy/src/Base/comma_list.h"
 #include "masticproxy/src/Ctl/ctl_error.h"
 #include "masticproxy/src/Ctl/ctl_options.h"
 #include "masticproxy/src/Ctl/time_text.h"
 
-#include <sstream>
-
 using namespace masticproxy;
 using std::chrono::microseconds;
 
@@ -16,11 +15,8 @@
 }
 
 std::vector<std::string> kindsIn(const std::string &Text) {
-  std::vector<std::string> Kinds;
-  std::istringstream In(Text);
-  for (std::string Kind; std::getline(In, Kind, ',');)
-    if (!Kind.empty())
-      Kinds.push_back(Kind);
+  std::vector<std::string> Kinds = splitCommaList(Text);
+  std::erase(Kinds, "");
   if (Kinds.empty())
     refuse("--kind needs the name of a kind of event");
   return Kinds;
--- a/packages/ctl/masticproxy/src/Ctl/timeline_reader.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/timeline_reader.cpp
@@ -17,9 +17,13 @@
 }
 
 timeline_batch timeline_reader::read() {
+  std::vector<vm_request> Requests;
+  for (const vm_state &Vm : Vms)
+    Requests.push_back({Vm.Address, targetFor(Vm)});
+  std::vector<vm_report> Reports = Fetch(Requests);
   timeline_batch Batch;
-  for (vm_state &Vm : Vms)
-    read(Vm, Batch);
+  for (std::size_t I = 0; I < Vms.size(); ++I)
+    take(Reports[I], Vms[I], Batch);
   sortByTime(Batch.Events);
   return Batch;
 }
@@ -32,8 +36,8 @@
   return Addresses;
 }
 
-void timeline_reader::read(vm_state &Vm, timeline_batch &Into) {
-  vm_report Report = Fetch(Vm.Address, targetFor(Vm));
+void timeline_reader::take(const vm_report &Report, vm_state &Vm,
+                           timeline_batch &Into) {
   if (Report.Reached != Vm.Answers)
     Into.Changes.push_back(
         {Vm.Address, Report.Reached, Report.Reached ? "" : Report.Text});
--- a/packages/ctl/masticproxy/src/Ctl/timeline_reader.h
+++ b/packages/ctl/masticproxy/src/Ctl/timeline_reader.h
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Ctl/vm_reports.h"
 
 #include <functional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -29,9 +30,9 @@
 /// \brief Reads the time lines of several VMs; gives each event once.
 class timeline_reader {
 public:
-  /// Asks the VM at an address for a target.
-  using fetch = std::function<vm_report(const std::string &Vm,
-                                        const std::string &Target)>;
+  /// Asks VMs; gives a report for each request, in their order.
+  using fetch =
+      std::function<std::vector<vm_report>(std::span<const vm_request>)>;
 
   /// Reads the events of \p RequestId only, if it is not empty.
   timeline_reader(const std::vector<std::string> &Addresses,
@@ -51,7 +52,7 @@
     hybrid_time Newest = {-1, 0};
   };
 
-  void read(vm_state &Vm, timeline_batch &Into);
+  static void take(const vm_report &Report, vm_state &Vm, timeline_batch &Into);
   std::string targetFor(const vm_state &Vm) const;
 
   std::vector<vm_state> Vms;
--- a/packages/ctl/masticproxy/src/Ctl/vm_reports.h
+++ b/packages/ctl/masticproxy/src/Ctl/vm_reports.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_CTL_VM_REPORTS_H
 
 #include <chrono>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,13 +19,19 @@
   std::string Text;
 };
 
-/// Asks the VM at \p Vm for \p Target.
-vm_report askVm(const std::string &Vm, std::string_view Target,
-                std::chrono::milliseconds Timeout);
+/// \brief A read of one VM.
+struct vm_request {
+  std::string Vm;
+  std::string Target;
+};
+
+/// Sends all \p Requests at the same time. \returns a report for each, in
+/// their order.
+std::vector<vm_report> askEach(std::span<const vm_request> Requests,
+                               std::chrono::milliseconds Timeout);
 
-/// Asks every VM of \p Options for \p Target, all at the same time, and gives
-/// the reports in the order of the VMs. \throws ctl_error where none is
-/// named.
+/// Asks every VM of \p Options for \p Target, as askEach() does. \throws
+/// ctl_error where none is named.
 std::vector<vm_report> askVms(const ctl_options &Options,
                               std::string_view Target);
 
--- a/packages/ctl/masticproxy/src/Ctl/waterfall_svg.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/waterfall_svg.cpp
@@ -1,6 +1,7 @@
 #include "masticproxy/src/Ctl/waterfall_svg.h"
 
 #include "masticproxy/src/Ctl/fan_out.h"
+#include "masticproxy/src/Ctl/markup_text.h"
 #include "masticproxy/src/Ctl/waterfall_text.h"
 
 #include <nlohmann/json.hpp>
@@ -138,25 +139,11 @@
   // Through the JSON library, which replaces what is no UTF-8.
   std::string Valid = nlohmann::json::parse(nlohmann::json(Text).dump(
       -1, ' ', false, nlohmann::json::error_handler_t::replace));
-  std::string Escaped;
-  for (char C : Valid) {
-    if (C == '&')
-      Escaped += "&amp;";
-    else if (C == '<')
-      Escaped += "&lt;";
-    else if (C == '>')
-      Escaped += "&gt;";
-    else if (C == '"')
-      Escaped += "&quot;";
-    else if (C == '\'')
-      Escaped += "&#39;";
-    else if (static_cast<unsigned char>(C) < FirstPrintable)
-      // XML has no way to write most of these.
-      Escaped += '?';
-    else
-      Escaped += C;
-  }
-  return Escaped;
+  // XML has no way to write most control characters.
+  for (char &C : Valid)
+    if (static_cast<unsigned char>(C) < FirstPrintable)
+      C = '?';
+  return markupText(Valid);
 }
 
 std::string masticproxy::waterfallSvg(const fan_out &Request) {
--- a/packages/ctl/tests/effect_test.cpp
+++ b/packages/ctl/tests/effect_test.cpp
@@ -14,6 +14,11 @@
 
 namespace {
 
+/// What one VM's report says of the profile `p`.
+vm_effect effectIn(const vm_report &Report) {
+  return effectsIn(readAnswers(std::vector{Report}), "p").front();
+}
+
 constexpr const char *Long =
     "wait = \"300ms\"\ncoverage = 0.9\nmay_repeat = true\n";
 constexpr const char *Short =
@@ -37,7 +42,7 @@
 vm_effect vm(const std::string &Address, const nlohmann::json &Versions) {
   nlohmann::json Root = {
       {"profiles", {{{"name", "p"}, {"versions", Versions}}}}};
-  return readEffect({Address, true, Root.dump()}, "p");
+  return effectIn({Address, true, Root.dump()});
 }
 
 nlohmann::json rows(std::initializer_list<nlohmann::json> Rows) {
@@ -88,15 +93,14 @@
 }
 
 Test(effect, says_which_vm_told_nothing_and_why) {
-  vm_effect Down = readEffect({"a", false, "connection refused"}, "p");
+  vm_effect Down = effectIn({"a", false, "connection refused"});
   cr_assert(Down.Unreachable == "connection refused");
   for (const char *Text :
        {"", "[]", "{\"code\":\"not_found\"}",
         "{\"profiles\":[{\"name\":\"p\"}]}",
         "{\"profiles\":[{\"name\":\"p\",\"versions\":[3]}]}"})
-    cr_assert_not(readEffect({"a", true, Text}, "p").Unreachable.empty(), "%s",
-                  Text);
-  vm_effect Other = readEffect({"a", true, "{\"profiles\":[]}"}, "p");
+    cr_assert_not(effectIn({"a", true, Text}).Unreachable.empty(), "%s", Text);
+  vm_effect Other = effectIn({"a", true, "{\"profiles\":[]}"});
   cr_assert(Other.Unreachable.empty() && Other.Versions.empty());
 }
 
--- a/packages/ctl/tests/report_test.cpp
+++ b/packages/ctl/tests/report_test.cpp
@@ -44,8 +44,9 @@
   std::string Page = reportPage(profileSection(Foreign, Vms));
   cr_assert_not(has(Page, "<script"), "%s", Page.c_str());
   // Name, VM and its reason, and outcome and refusal in table and plot each.
-  cr_assert(count(Page, htmlText(Foreign)) == 7, "%s", Page.c_str());
-  cr_assert(htmlText(Foreign) == "&lt;script src=&quot;x&quot;&gt;&amp;&#39;");
+  cr_assert(count(Page, markupText(Foreign)) == 7, "%s", Page.c_str());
+  cr_assert(markupText(Foreign) ==
+            "&lt;script src=&quot;x&quot;&gt;&amp;&#39;");
 }
 
 Test(report, shows_the_edit_the_figures_and_the_plots) {
--- a/packages/ctl/tests/timeline_test.cpp
+++ b/packages/ctl/tests/timeline_test.cpp
@@ -72,9 +72,11 @@
 
   timeline_reader reader(const std::vector<std::string> &Vms,
                          const std::string &RequestId = "") {
-    return {Vms, RequestId,
-            [this](const std::string &Vm, const std::string &Target) {
-              return ask(Vm, Target);
+    return {Vms, RequestId, [this](std::span<const vm_request> Requests) {
+              std::vector<vm_report> Reports;
+              for (const vm_request &Request : Requests)
+                Reports.push_back(ask(Request.Vm, Request.Target));
+              return Reports;
             }};
   }
 };
--- a/packages/testing/programs/load_main.cpp
+++ b/packages/testing/programs/load_main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// masticproxy_load: an open-loop load tool; prints its figures as JSON.
 
+#include "masticproxy/src/Base/comma_list.h"
 #include "masticproxy/src/Query/index_map.h"
 #include "masticproxy/src/Settings/index_text.h"
 #include "masticproxy/src/StandIns/direct_run.h"
@@ -34,14 +35,6 @@
   bool Samples = false;
 };
 
-std::vector<std::string> split(const std::string &Text) {
-  std::vector<std::string> Parts;
-  std::istringstream In(Text);
-  for (std::string Part; std::getline(In, Part, ',');)
-    Parts.push_back(Part);
-  return Parts;
-}
-
 load_options readOptions(int ArgCount, char **Args) {
   static const option Known[] = {
       {"targets", required_argument, nullptr, 't'},
@@ -60,7 +53,7 @@
   while ((Found = getopt_long(ArgCount, Args, "", Known, nullptr)) != -1) {
     switch (Found) {
     case 't':
-      Plan.Targets = split(optarg);
+      Plan.Targets = splitCommaList(optarg);
       break;
     case 'i':
       Plan.Index = optarg;
--- a/packages/testing/programs/upstream_stub_main.cpp
+++ b/packages/testing/programs/upstream_stub_main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// upstream_stub: the stand-ins of all upstreams of one index, in one process.
 
+#include "masticproxy/src/Base/comma_list.h"
 #include "masticproxy/src/StandIns/upstream_stub.h"
 
 #include <boost/asio/io_context.hpp>
@@ -11,7 +12,6 @@
 
 #include <csignal>
 #include <iostream>
-#include <sstream>
 #include <stdexcept>
 #include <vector>
 
@@ -40,14 +40,6 @@
     "  [--straggler-share X] [--print-map]\n"
     "Replica R of shard S listens on first-port + S * replicas + R.\n";
 
-std::vector<std::string> split(const std::string &Text) {
-  std::vector<std::string> Parts;
-  std::istringstream In(Text);
-  for (std::string Part; std::getline(In, Part, ',');)
-    Parts.push_back(Part);
-  return Parts;
-}
-
 void setOption(stub_options &Options, const std::string &Name,
                const std::string &Value) {
   if (Name == "host")
@@ -71,7 +63,7 @@
   else if (Name == "straggler-share")
     Options.Shape.StragglerShare = std::stod(Value);
   else if (Name == "data-centres")
-    Options.DataCentres = split(Value);
+    Options.DataCentres = splitCommaList(Value);
   else if (Name == "snapshot")
     Options.Snapshot = Value;
   else if (Name == "seed")
