--- a/cmake/masticproxy_package.cmake
+++ b/cmake/masticproxy_package.cmake
@@ -27,6 +27,9 @@
 # number of cases of each property, SEED another seed, FILTER a pattern of the
 # Criterion tests to run; PROGRAM names a program that another test built.
 function(masticproxy_test NAME)
+  if(MASTICPROXY_DAEMON_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "TIMEOUT;CASES;SEED;FILTER;PROGRAM"
     "SOURCES;LINK;LABELS" ${ARGN})
   if(NOT ARG_PROGRAM)
--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "masticproxy/src/Settings/node_settings.h"
 
+#include "masticproxy/src/Settings/address_text.h"
 #include "masticproxy/src/Settings/checked_values.h"
 #include "masticproxy/src/Settings/settings_error.h"
 
@@ -7,6 +8,9 @@
 
 namespace {
 
+/// Stands for no address of its own.
+constexpr std::string_view NoAddress = "-";
+
 /// Checks what no single key can tell.
 void checkTogether(const node_settings &S, std::string_view Source) {
   std::vector<settings_problem> Problems;
@@ -22,6 +26,12 @@
        "more than peers.suspect_after");
   Need(S.CallersAddress != S.PeersAddress, "listen.peers",
        "another address than listen.callers");
+  Need(S.PagesAddress.empty() || isAddressText(S.PagesAddress), "listen.pages",
+       "an IP number and a port, or -");
+  Need(S.PagesAddress != S.CallersAddress, "listen.pages",
+       "another address than listen.callers");
+  Need(!S.ForwardCallers || !S.PagesAddress.empty(), "listen.pages",
+       "an address of its own with callers.forward, as routes take any path");
   if (!Problems.empty())
     throw settings_error(std::move(Problems));
 }
@@ -36,10 +46,15 @@
   S.Name = Values.text("node.name");
   S.DataCentre = Values.text("node.data_centre");
   S.CallersAddress = Values.text("listen.callers");
+  S.PagesAddress = Values.text("listen.pages");
+  if (S.PagesAddress == NoAddress)
+    S.PagesAddress.clear();
   S.PeersAddress = Values.text("listen.peers");
   S.PlatformAddress = Values.text("platform.address");
+  S.PlatformIsStore = Values.text("platform.interface") == "store";
   S.PlatformCallTimeout = Values.span("platform.call_timeout");
   S.PlatformWatchWait = Values.span("platform.watch_wait");
+  S.PeersExchange = Values.flag("peers.exchange");
   S.HeartbeatInterval = Values.span("peers.heartbeat_interval");
   S.SuspectAfter = Values.span("peers.suspect_after");
   S.DeadAfter = Values.span("peers.dead_after");
@@ -47,6 +62,14 @@
   S.BodyBytes = static_cast<std::size_t>(Values.integer("limits.body_bytes"));
   S.CallerConnections =
       static_cast<std::size_t>(Values.integer("limits.caller_connections"));
+  S.ForwardCallers = Values.flag("callers.forward");
+  S.AllDataCentres = Values.flag("upstreams.all_data_centres");
+  S.UpstreamConnections =
+      static_cast<unsigned>(Values.integer("upstreams.connections"));
+  S.HedgeQuantile = Values.number("query.hedge_quantile");
+  S.ExtraLoad = Values.number("query.extra_load");
+  S.ExtraLoadSaved = Values.number("query.extra_load_saved");
+  S.AnswerMargin = Values.span("query.answer_margin");
   S.QueryPolicy = Values.text("query.policy");
   S.BalancerLag = Values.span("leave.balancer_lag");
   S.FinishWithin = Values.span("leave.finish_within");
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -14,16 +14,29 @@
   std::string Name;
   std::string DataCentre;
   std::string CallersAddress;
+  /// Empty where the pages stand at the callers' address.
+  std::string PagesAddress;
   std::string PeersAddress;
   std::string PlatformAddress;
+  /// Whether the platform is a store in which upstreams register themselves.
+  bool PlatformIsStore;
   std::chrono::milliseconds PlatformCallTimeout;
   std::chrono::milliseconds PlatformWatchWait;
+  bool PeersExchange;
   std::chrono::milliseconds HeartbeatInterval;
   std::chrono::milliseconds SuspectAfter;
   std::chrono::milliseconds DeadAfter;
   std::size_t Queries;
   std::size_t BodyBytes;
   std::size_t CallerConnections;
+  bool ForwardCallers;
+  bool AllDataCentres;
+  /// 0: this VM's share.
+  unsigned UpstreamConnections;
+  double HedgeQuantile;
+  double ExtraLoad;
+  double ExtraLoadSaved;
+  std::chrono::milliseconds AnswerMargin;
   std::string QueryPolicy;
   std::chrono::milliseconds BalancerLag;
   std::chrono::milliseconds FinishWithin;
--- a/packages/config/masticproxy/src/Settings/settings_reference.cpp
+++ b/packages/config/masticproxy/src/Settings/settings_reference.cpp
@@ -41,9 +41,9 @@
   Page += "| key | type | default | bounds | meaning |\n"
           "|---|---|---|---|---|\n";
   for (const key_spec &Spec : Specs) {
-    std::string Default = Spec.Default.empty()
-                              ? "required"
-                              : "`" + std::string(Spec.Default) + "`";
+    std::string Default = "required";
+    if (!Spec.Default.empty())
+      Default.assign("`").append(Spec.Default).append("`");
     Page.append("| `").append(Spec.Path).append("` | ");
     Page.append(toString(Spec.Kind)).append(" | ").append(Default);
     Page.append(" | ").append(boundsOf(Spec)).append(" | ");
--- /dev/null
+++ b/packages/core/masticproxy/src/Discovery/discovery_event.h
@@ -0,0 +1,41 @@
+#ifndef MASTICPROXY_DISCOVERY_DISCOVERY_EVENT_H
+#define MASTICPROXY_DISCOVERY_DISCOVERY_EVENT_H
+
+#include "masticproxy/src/Discovery/routing_configuration.h"
+#include "masticproxy/src/Discovery/upstream_entry.h"
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace masticproxy {
+
+/// \brief The platform holds this configuration.
+struct configuration_read {
+  std::shared_ptr<const routing_configuration> Configuration;
+};
+
+/// \brief These are all registered upstreams.
+struct upstreams_listed {
+  std::vector<upstream_entry> Entries;
+};
+
+/// \brief An upstream registered itself, or changed its registration.
+struct upstream_registered {
+  upstream_entry Entry;
+};
+
+/// \brief A registration is gone.
+struct upstream_lapsed {
+  std::string Instance;
+};
+
+/// \brief All that the routing directory reacts to.
+using discovery_event =
+    std::variant<configuration_read, upstreams_listed, upstream_registered,
+                 upstream_lapsed>;
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Discovery/routing_directory.cpp
@@ -0,0 +1,59 @@
+#include "masticproxy/src/Discovery/routing_directory.h"
+
+#include "masticproxy/src/Discovery/catalogue_builder.h"
+#include "masticproxy/src/Query/query_catalogue.h"
+
+#include <utility>
+
+using namespace masticproxy;
+
+std::shared_ptr<const query_catalogue>
+routing_directory::handle(discovery_event Event) {
+  bool Changed =
+      std::visit([this](auto E) { return on(std::move(E)); }, std::move(Event));
+  return Changed && complete() ? build() : nullptr;
+}
+
+std::shared_ptr<const query_catalogue> routing_directory::expire() {
+  return Registry.expire() && complete() ? build() : nullptr;
+}
+
+std::optional<std::uint64_t> routing_directory::version() const {
+  if (!Configuration)
+    return std::nullopt;
+  return Configuration->Version;
+}
+
+caller_limits routing_directory::limits() const {
+  return Configuration ? Configuration->Limits : caller_limits{};
+}
+
+bool routing_directory::on(configuration_read Event) {
+  // A read may be stale, and answers may overtake each other.
+  bool Newer = !Configuration ||
+               Event.Configuration->Version > Configuration->Version;
+  if (Newer)
+    Configuration = std::move(Event.Configuration);
+  return Newer;
+}
+
+bool routing_directory::on(upstreams_listed Event) {
+  UpstreamsListed = true;
+  Registry.onListed(std::move(Event.Entries));
+  return true;
+}
+
+bool routing_directory::on(upstream_registered Event) {
+  Registry.onEntry(std::move(Event.Entry));
+  return true;
+}
+
+bool routing_directory::on(const upstream_lapsed &Event) {
+  Registry.onLapsed(Event.Instance);
+  return true;
+}
+
+std::shared_ptr<const query_catalogue> routing_directory::build() const {
+  std::vector<upstream_entry> Upstreams = Registry.entries();
+  return buildCatalogue(*Configuration, Upstreams);
+}
--- /dev/null
+++ b/packages/core/masticproxy/src/Discovery/routing_directory.h
@@ -0,0 +1,60 @@
+#ifndef MASTICPROXY_DISCOVERY_ROUTING_DIRECTORY_H
+#define MASTICPROXY_DISCOVERY_ROUTING_DIRECTORY_H
+
+#include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Discovery/discovery_event.h"
+#include "masticproxy/src/Discovery/routing_configuration.h"
+#include "masticproxy/src/Discovery/upstream_registry.h"
+
+#include <memory>
+#include <optional>
+
+namespace masticproxy {
+
+class query_catalogue;
+
+/// \brief Decides which configuration and which upstreams are in force.
+///
+/// Events go in through handle(); a catalogue comes out when it changed. A
+/// configuration older than the one in force is never taken over.
+class routing_directory {
+public:
+  explicit routing_directory(const clock &Clock) : Registry(Clock) {}
+
+  /// Reacts to \p Event. \returns the new catalogue, or null where nothing
+  /// changed that queries depend on.
+  std::shared_ptr<const query_catalogue> handle(discovery_event Event);
+
+  /// Drops upstreams whose time is over. \returns the new catalogue, or null.
+  std::shared_ptr<const query_catalogue> expire();
+
+  /// \returns when expire() is due, if at all.
+  std::optional<time_point> nextExpiry() const {
+    return Registry.nextExpiry();
+  }
+
+  /// \returns the operator's number of the configuration in force; nothing
+  /// before the first.
+  std::optional<std::uint64_t> version() const;
+
+  /// \returns the limits for callers in force.
+  caller_limits limits() const;
+
+  /// \returns whether a configuration and a list of upstreams are known.
+  bool complete() const { return Configuration && UpstreamsListed; }
+
+private:
+  bool on(configuration_read Event);
+  bool on(upstreams_listed Event);
+  bool on(upstream_registered Event);
+  bool on(const upstream_lapsed &Event);
+  std::shared_ptr<const query_catalogue> build() const;
+
+  upstream_registry Registry;
+  std::shared_ptr<const routing_configuration> Configuration;
+  bool UpstreamsListed = false;
+};
+
+} // namespace masticproxy
+
+#endif
--- /dev/null
+++ b/packages/core/masticproxy/src/Discovery/upstream_registry.cpp
@@ -0,0 +1,73 @@
+#include "masticproxy/src/Discovery/upstream_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace masticproxy;
+
+namespace {
+
+/// Live upstreams register again within about two seconds of the platform's
+/// return.
+constexpr std::chrono::milliseconds ReturnTime{2200};
+
+} // namespace
+
+void upstream_registry::onListed(std::vector<upstream_entry> Entries) {
+  std::vector<std::string> Missing;
+  for (const auto &[Instance, Record] : Records) {
+    bool Listed = std::any_of(
+        Entries.begin(), Entries.end(),
+        [&](const upstream_entry &E) { return E.Instance == Instance; });
+    if (!Listed)
+      Missing.push_back(Instance);
+  }
+  for (const std::string &Instance : Missing)
+    onLapsed(Instance);
+  for (upstream_entry &Entry : Entries)
+    onEntry(std::move(Entry));
+}
+
+void upstream_registry::onEntry(upstream_entry Entry) {
+  std::string Instance = Entry.Instance;
+  Records.insert_or_assign(std::move(Instance),
+                           record{std::move(Entry), std::nullopt});
+}
+
+void upstream_registry::onLapsed(std::string_view Instance) {
+  auto Found = Records.find(Instance);
+  if (Found == Records.end())
+    return;
+  // One that said it was leaving is not expected back.
+  if (Found->second.Entry.Draining) {
+    Records.erase(Found);
+    return;
+  }
+  if (Found->second.GoneAt)
+    return;
+  Found->second.GoneAt = Clock.now() + ReturnTime;
+  Found->second.Entry.Lapsed = true;
+}
+
+bool upstream_registry::expire() {
+  time_point Now = Clock.now();
+  return std::erase_if(Records, [Now](const auto &Entry) {
+           return Entry.second.GoneAt && *Entry.second.GoneAt <= Now;
+         }) > 0;
+}
+
+std::optional<time_point> upstream_registry::nextExpiry() const {
+  std::optional<time_point> Next;
+  for (const auto &[Instance, Record] : Records)
+    if (Record.GoneAt)
+      Next = std::min(Next.value_or(*Record.GoneAt), *Record.GoneAt);
+  return Next;
+}
+
+std::vector<upstream_entry> upstream_registry::entries() const {
+  std::vector<upstream_entry> All;
+  All.reserve(Records.size());
+  for (const auto &[Instance, Record] : Records)
+    All.push_back(Record.Entry);
+  return All;
+}
--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -30,6 +30,10 @@
   attempt_kind Kind = attempt_kind::First;
   /// Connections the upstream accepts, over all VMs.
   unsigned Connections = 1;
+  /// The caller's request, where upstreams get it as it came.
+  std::shared_ptr<const forwarded_request> Forwarded = {};
+  /// Identity that the upstream has to have; empty: any.
+  std::string Instance = {};
 };
 
 /// \brief Ask the upstream to stop an attempt whose result is not needed.
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -11,7 +11,9 @@
 #include "masticproxy/src/Relay/relay_request.h"
 
 #include <cstdint>
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -32,6 +34,15 @@
   std::string Profile;
   std::string Index;
   std::string Body;
+  /// The request as it came, where a route is to name profile and index.
+  std::shared_ptr<const forwarded_request> Forwarded = {};
+  /// How long the caller itself waits, where it says so.
+  std::optional<std::chrono::milliseconds> CallerWait = {};
+};
+
+/// \brief A caller closed its connection and does not wait any more.
+struct caller_left {
+  query_ticket Ticket = 0;
 };
 
 /// \brief An upstream answered an attempt.
@@ -52,6 +63,8 @@
   SnapshotGone,
   /// The connection died after bytes had left: it may have run.
   Unknown,
+  /// The upstream ran the request and could not answer it.
+  Failed,
 };
 
 /// \brief An attempt ended without a result.
@@ -101,7 +114,7 @@
     std::variant<query_arrived, attempt_answered, attempt_failed,
                  catalogue_changed, timer_fired, leave_started, relay_failed,
                  relay_arrived, relay_cancelled, relays_closed, claim_decision,
-                 poison_notice, drain_notice>;
+                 poison_notice, drain_notice, caller_left>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/index_map.h
+++ b/packages/core/masticproxy/src/Query/index_map.h
@@ -17,11 +17,15 @@
   unsigned Slots = 1;
   /// Connections the upstream accepts, over all VMs.
   unsigned Connections = 1;
+  /// Identity of the upstream's present start, which it checks; empty where
+  /// it has none.
+  std::string Instance = {};
 };
 
 /// \brief One shard of a snapshot with its replicas.
 struct shard {
   std::string Id;
+  /// Unused where the catalogue lists the replicas of its shards.
   std::vector<replica> Replicas;
 };
 
--- a/packages/core/masticproxy/src/Query/partial_answer.cpp
+++ b/packages/core/masticproxy/src/Query/partial_answer.cpp
@@ -9,32 +9,35 @@
 partial_answer::partial_answer(std::string RequestId,
                                std::shared_ptr<const index_snapshot> Snapshot)
     : RequestId(std::move(RequestId)), Snapshot(std::move(Snapshot)),
-      Bodies(this->Snapshot->Shards.size()) {}
+      Results(this->Snapshot->Shards.size()) {}
 
 bool partial_answer::add(upstream_result Result) {
   if (Result.RequestId != RequestId || Result.Snapshot != Snapshot->Id)
     return false;
   std::optional<std::size_t> Index = shardIndex(Result.Shard);
-  if (!Index || Bodies[*Index])
+  if (!Index || Results[*Index])
     return false;
-  Bodies[*Index] = std::move(Result.Body);
+  Results[*Index] = shard_result{std::move(Result.Shard),
+                                 std::move(Result.Body), Result.Status,
+                                 std::move(Result.Signature),
+                                 std::move(Result.Headers)};
   ++Answered;
   return true;
 }
 
 coverage partial_answer::stated() const {
-  return coverage{Answered, Bodies.size()};
+  return coverage{Answered, Results.size()};
 }
 
 std::string_view partial_answer::snapshot() const { return Snapshot->Id; }
 
 std::vector<shard_result> partial_answer::takeResults() {
-  std::vector<shard_result> Results;
-  Results.reserve(Answered);
-  for (std::size_t I = 0; I < Bodies.size(); ++I)
-    if (Bodies[I])
-      Results.push_back({Snapshot->Shards[I].Id, std::move(*Bodies[I])});
-  return Results;
+  std::vector<shard_result> Taken;
+  Taken.reserve(Answered);
+  for (std::optional<shard_result> &Result : Results)
+    if (Result)
+      Taken.push_back(std::move(*Result));
+  return Taken;
 }
 
 std::optional<std::size_t>
--- a/packages/core/masticproxy/src/Query/partial_answer.h
+++ b/packages/core/masticproxy/src/Query/partial_answer.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_QUERY_PARTIAL_ANSWER_H
 
 #include "masticproxy/src/Query/coverage.h"
+#include "masticproxy/src/Query/forwarded_request.h"
 
 #include <memory>
 #include <optional>
@@ -19,12 +20,22 @@
   std::string Snapshot;
   std::string Shard;
   std::string Body;
+  /// HTTP status of the upstream's response.
+  unsigned Status = 200;
+  /// The upstream's signature of its response; empty where it gives none.
+  std::string Signature = {};
+  /// End-to-end fields of the response, for answers that pass it on.
+  header_list Headers = {};
 };
 
 /// \brief One shard's result inside an answer.
 struct shard_result {
   std::string Shard;
   std::string Body;
+  /// \sa upstream_result
+  unsigned Status = 200;
+  std::string Signature = {};
+  header_list Headers = {};
 };
 
 /// \brief The results gathered for one request from one pinned snapshot.
@@ -43,7 +54,7 @@
 
   /// \returns whether the shard at \p ShardIndex of the snapshot answered.
   bool has(std::size_t ShardIndex) const {
-    return Bodies[ShardIndex].has_value();
+    return Results[ShardIndex].has_value();
   }
 
   /// \returns the true coverage of what was added so far.
@@ -60,7 +71,7 @@
 
   std::string RequestId;
   std::shared_ptr<const index_snapshot> Snapshot;
-  std::vector<std::optional<std::string>> Bodies;
+  std::vector<std::optional<shard_result>> Results;
   std::size_t Answered = 0;
 };
 
--- a/packages/core/masticproxy/src/Query/profile.h
+++ b/packages/core/masticproxy/src/Query/profile.h
@@ -17,6 +17,13 @@
   double Coverage = 1.0;
   /// Whether a request is idempotent, so that it may run more than once.
   bool MayRepeat = false;
+  /// Time after which an answer of the least coverage is given instead of
+  /// waiting for more; 0: only Wait counts.
+  std::chrono::milliseconds TargetLatency{0};
+  /// Upstreams that may run the request for each shard; 0: no bound.
+  unsigned Attempts = 0;
+  /// Rank among the profiles; 0 is the most urgent.
+  unsigned Priority = 0;
   /// The platform's version of it; 0 where it came from no platform.
   std::uint64_t Version = 0;
 };
--- a/packages/core/masticproxy/src/Query/query_catalogue.cpp
+++ b/packages/core/masticproxy/src/Query/query_catalogue.cpp
@@ -1,5 +1,7 @@
 #include "masticproxy/src/Query/query_catalogue.h"
 
+#include "masticproxy/src/Query/route_table.h"
+
 #include <utility>
 
 using namespace masticproxy;
@@ -36,6 +38,21 @@
     Indexes.erase(Found);
 }
 
+std::shared_ptr<const route>
+query_catalogue::findRoute(std::string_view Host,
+                           std::string_view Target) const {
+  return Routes ? Routes->find(Host, Target) : nullptr;
+}
+
+std::span<const replica> query_catalogue::replicasOf(const shard &Shard) const {
+  if (!Replicas)
+    return Shard.Replicas;
+  auto Found = Replicas->find(Shard.Id);
+  if (Found == Replicas->end())
+    return {};
+  return Found->second;
+}
+
 std::vector<std::string> query_catalogue::profileNames() const {
   std::vector<std::string> Names;
   Names.reserve(Profiles.size());
--- a/packages/core/masticproxy/src/Query/query_catalogue.h
+++ b/packages/core/masticproxy/src/Query/query_catalogue.h
@@ -5,12 +5,21 @@
 #include "masticproxy/src/Query/profile.h"
 
 #include <map>
+#include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace masticproxy {
 
+class route_table;
+struct route;
+
+/// The replicas of each shard, by the shard's id.
+using replica_map = std::map<std::string, std::vector<replica>, std::less<>>;
+
 /// \brief The profiles and index maps in force at one instant; immutable once
 /// published.
 class query_catalogue {
@@ -33,6 +42,23 @@
   /// \returns the index called \p Name, or null.
   const index_map *findIndex(std::string_view Name) const;
 
+  /// Replaces the routes for forwarded requests.
+  void setRoutes(std::shared_ptr<const route_table> NewRoutes) {
+    Routes = std::move(NewRoutes);
+  }
+
+  /// Sets the replicas of all shards, instead of those in the index maps.
+  void setReplicas(replica_map NewReplicas) {
+    Replicas = std::move(NewReplicas);
+  }
+
+  /// \returns the route for \p Target at \p Host, or null.
+  std::shared_ptr<const route> findRoute(std::string_view Host,
+                                         std::string_view Target) const;
+
+  /// \returns the replicas of \p Shard at this instant.
+  std::span<const replica> replicasOf(const shard &Shard) const;
+
   /// \returns the names of all profiles.
   std::vector<std::string> profileNames() const;
 
@@ -44,6 +70,8 @@
 private:
   std::map<std::string, profile, std::less<>> Profiles;
   std::map<std::string, index_map, std::less<>> Indexes;
+  std::shared_ptr<const route_table> Routes;
+  std::optional<replica_map> Replicas;
 };
 
 } // namespace masticproxy
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -1,6 +1,7 @@
 #include "masticproxy/src/Query/query_engine.h"
 
 #include "masticproxy/src/Query/query_catalogue.h"
+#include "masticproxy/src/Query/request_fingerprint.h"
 
 using namespace masticproxy;
 
@@ -12,15 +13,49 @@
 /// Shards of one upstream's queue that may start at one look.
 constexpr int WaitingRounds = 8;
 
+/// Statuses from here on say that the upstream failed.
+constexpr unsigned FirstServerError = 500;
+
+/// Statuses of success.
+constexpr unsigned FirstSuccess = 200;
+constexpr unsigned FirstRedirection = 300;
+
+/// The load budget that pays for attempts of \p Run at \p Shard: forwarded
+/// requests have one for each shard, the others share one.
+std::string_view budgetOf(const query_run &Run, const shard &Shard) {
+  return Run.way() ? std::string_view(Shard.Id) : std::string_view();
+}
+
+bool isSuccess(unsigned Status) {
+  return Status >= FirstSuccess && Status < FirstRedirection;
+}
+
+/// Whether \p Result is no result for \p Run. A response that is passed on
+/// whole may well be a refusal of the caller's request.
+bool isUnsuccessful(const query_run &Run, const upstream_result &Result) {
+  if (!Run.way())
+    return false;
+  if (Run.way()->Form == answer_form::Whole)
+    return Result.Status >= FirstServerError;
+  return !isSuccess(Result.Status);
+}
+
+/// An attempt of a forwarded request that has lost is let run to its end: its
+/// connection stays usable, and a new one costs the upstream more.
+bool stopsLosers(const query_run &Run) { return Run.way() == nullptr; }
+
 } // namespace
 
 query_engine::query_engine(const clock &Clock, engine_limits Limits)
     : Clock(Clock), Limits(std::move(Limits)),
       Catalogue(std::make_shared<const query_catalogue>()),
-      Upstreams(makePolicy(this->Limits.Policy, this->Limits.Seed)),
+      Upstreams(makePolicy(this->Limits.Policy, this->Limits.Seed,
+                           this->Limits.Tuning)),
       Admission(this->Limits.Queries), Inbox(this->Limits.Relayed),
-      Poison(Clock, this->Limits.ProbeFirst) {
+      Poison(Clock, this->Limits.ProbeFirst), Indexes(this->Limits.Seed) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
+  Upstreams.speakToAll(this->Limits.AllDataCentres);
+  Upstreams.setOwnConnections(this->Limits.UpstreamConnections);
 }
 
 query_engine::~query_engine() = default;
@@ -52,15 +87,21 @@
   if (!Configured)
     return refuse(Event, not_run{"no configuration yet: neither the platform "
                                  "nor a peer gave one"});
+  std::shared_ptr<const route> Route = followRoute(Event);
+  if (Event.Forwarded && !Route)
+    return refuse(Event, unknown_route{});
   const profile *Profile = Catalogue->findProfile(Event.Profile);
   if (!Profile)
     return refuse(Event, unknown_profile{});
   const index_map *Index = Catalogue->findIndex(Event.Index);
   if (!Index)
     return refuse(Event, unknown_index{});
-  if (Poison.condemned(fingerprintOf(Event.Index, Event.Body)))
+  if (Poison.condemned(fingerprintOf(Event)))
     return refuse(Event, condemned{});
-  if (!Profile->MayRepeat)
+  // A forwarded request has an id of its own for each try of its caller and
+  // comes to one VM only, so no other VM could run it too.
+  bool NeedsClaim = !Profile->MayRepeat && !Route;
+  if (NeedsClaim)
     if (std::optional<query_outcome> Refusal = refusalOfId(Event.RequestId))
       return refuse(Event, std::move(*Refusal));
   if (Leaving)
@@ -71,11 +112,17 @@
     return refuse(Event, not_run{std::string(toString(*Refusal))});
 
   query_ticket Ticket = Event.Ticket;
-  time_point Deadline = Clock.now() + Profile->Wait;
-  query_run NewRun(std::move(Event), *Profile, Index->Current, Deadline);
+  time_point Now = Clock.now();
+  profile Rules = *Profile;
+  Rules.Wait = std::min(Rules.Wait, Event.CallerWait.value_or(Rules.Wait));
+  query_run NewRun(std::move(Event), Rules, Index->Current, Now + Rules.Wait);
+  if (Route)
+    NewRun.follow(std::move(Route));
+  if (Rules.TargetLatency.count() > 0)
+    NewRun.setAnswerBy(Now + Rules.TargetLatency - Limits.AnswerMargin);
   auto Position = Runs.emplace(Ticket, std::move(NewRun)).first;
-  Deadlines.emplace(Deadline, Ticket);
-  if (!Profile->MayRepeat)
+  Deadlines.emplace(Position->second.due(), Ticket);
+  if (NeedsClaim)
     return awaitClaim(Ticket, Position->second);
   startShards(Ticket, Position->second);
   finishIfOver(Ticket);
@@ -85,22 +132,38 @@
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
+  query_run *Run = findRun(*Record);
+  if (Run && isUnsuccessful(*Run, Event.Result))
+    return onUnsuccessful(std::move(*Record), std::move(Event));
   if (Record->Relayed)
     Router.attemptAnswered(Record->Upstream);
   else
     noteEnd(*Record, /*Failure=*/nullptr);
   Poison.answered(Event.Attempt);
-  if (query_run *Run = findRun(*Record)) {
+  if (Run) {
     bool Added = Run->attemptAnswered(Record->Shard, Event.Attempt,
                                       std::move(Event.Result));
     if (Added)
-      cancelOpen(*Run, Record->Shard);
+      cancelOpen(*Run, Record->Shard, stopsLosers(*Run));
     startShard(Record->Ticket, *Run, Record->Shard);
     finishIfOver(Record->Ticket);
   }
   startWaiting(Waiting.takeFor(Record->Upstream));
 }
 
+void query_engine::onUnsuccessful(attempt_record Record,
+                                  attempt_answered Event) {
+  attempt_failure Failure = attempt_failure::Failed;
+  noteEnd(Record, &Failure);
+  Poison.ended(Event.Attempt);
+  query_run *Run = findRun(Record);
+  Run->attemptUnsuccessful(Record.Shard, Event.Attempt,
+                           std::move(Event.Result));
+  startShard(Record.Ticket, *Run, Record.Shard);
+  finishIfOver(Record.Ticket);
+  startWaiting(Waiting.takeFor(Record.Upstream));
+}
+
 void query_engine::on(attempt_failed Event) {
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
@@ -121,8 +184,7 @@
     Run->snapshotGone();
   // A suspect takes the shards that wait first.
   if (Event.UpstreamDied)
-    Waiting.add({Record.Ticket, Record.Shard},
-                Run->snapshot().Shards[Record.Shard].Replicas,
+    Waiting.add({Record.Ticket, Record.Shard}, replicasOf(*Run, Record.Shard),
                 Run->rules().Name);
   else if (!restartIfDue(Record.Ticket, *Run))
     startShard(Record.Ticket, *Run, Record.Shard);
@@ -140,13 +202,45 @@
 void query_engine::on(timer_fired) {
   time_point Now = Clock.now();
   while (!Deadlines.empty() && Deadlines.begin()->first <= Now)
-    finish(Runs.find(Deadlines.begin()->second));
+    onDue(Runs.find(Deadlines.begin()->second));
   startAllWaiting();
   hedgeDue();
 }
 
 void query_engine::on(leave_started) { Leaving = true; }
 
+void query_engine::on(const caller_left &Event) {
+  auto Run = Runs.find(Event.Ticket);
+  if (Run != Runs.end())
+    finishWith(Run, caller_gone{});
+}
+
+void query_engine::onDue(run_map::iterator Run) {
+  bool Over = Run->second.deadline() <= Clock.now();
+  if (Over || Run->second.enough())
+    return finish(Run);
+  Deadlines.erase({Run->second.due(), Run->first});
+  Run->second.setLate();
+  Deadlines.emplace(Run->second.due(), Run->first);
+}
+
+std::shared_ptr<const route> query_engine::followRoute(query_arrived &Event) {
+  if (!Event.Forwarded)
+    return nullptr;
+  std::shared_ptr<const route> Route =
+      Catalogue->findRoute(Event.Forwarded->Host, Event.Forwarded->Target);
+  if (!Route)
+    return nullptr;
+  Event.Profile = Route->Profile;
+  Event.Index = Indexes.next(*Route);
+  return Route;
+}
+
+std::span<const replica> query_engine::replicasOf(const query_run &Run,
+                                                  std::size_t Shard) const {
+  return Catalogue->replicasOf(Run.snapshot().Shards[Shard]);
+}
+
 void query_engine::startShards(query_ticket Ticket, query_run &Run) {
   for (std::size_t Shard : shardOrder(Run))
     startShard(Ticket, Run, Shard);
@@ -156,35 +250,39 @@
                               std::size_t Shard) {
   if (!Run.wantsAttempt(Shard))
     return;
+  const shard &Target = Run.snapshot().Shards[Shard];
+  std::span<const replica> Replicas = replicasOf(Run, Shard);
+  if (Run.way() && Replicas.empty())
+    return Run.giveUp(Shard);
   bool Retry = Run.wasAttempted(Shard);
-  if (Retry && !Upstreams.hasRetry())
+  if (Retry && !Upstreams.hasRetry(budgetOf(Run, Target)))
     return Waiting.addForBudget({Ticket, Shard}, Run.rules().Name);
   // Not only where no replica is left: the policy goes on choosing among
   // replicas that all look bad, which costs a retry each.
   if (startRelay(Ticket, Run, Shard))
-    return payFor(Run, Retry);
-  const shard &Target = Run.snapshot().Shards[Shard];
+    return payFor(Run, Shard, Retry);
   const replica *Chosen =
-      Upstreams.choose(Target.Replicas, Run.tried(Shard), Clock.now());
+      Upstreams.choose(Replicas, Run.tried(Shard), Clock.now());
   if (!Chosen) {
     // Every replica was tried or is busy: let it ask each of them once more.
     Run.forgetTried(Shard);
-    Waiting.add({Ticket, Shard}, Target.Replicas, Run.rules().Name);
+    Waiting.add({Ticket, Shard}, Replicas, Run.rules().Name);
     return;
   }
   if (!Poison.mayStart(Run.fingerprint(), Chosen->Address))
-    return Waiting.add({Ticket, Shard}, Target.Replicas, Run.rules().Name);
-  payFor(Run, Retry);
+    return Waiting.add({Ticket, Shard}, Replicas, Run.rules().Name);
+  payFor(Run, Shard, Retry);
   send(Ticket, Run, Shard, *Chosen,
        Retry ? attempt_kind::Retry : attempt_kind::First);
 }
 
-void query_engine::payFor(const query_run &Run, bool Retry) {
+void query_engine::payFor(query_run &Run, std::size_t Shard, bool Retry) {
+  std::string_view Budget = budgetOf(Run, Run.snapshot().Shards[Shard]);
   if (Retry)
-    Upstreams.takeRetry();
+    Upstreams.takeRetry(Budget);
   // A request that starts over does work anew, so it earns nothing.
-  else if (Run.generation() == 0)
-    Upstreams.firstAttempt();
+  else if (Run.generation() == 0 && Run.earns(Shard))
+    Upstreams.firstAttempt(Budget);
 }
 
 void query_engine::send(query_ticket Ticket, query_run &Run, std::size_t Shard,
@@ -196,22 +294,25 @@
   Run.attemptStarted(Shard, Attempt, Target.Address);
   auto Added = Attempts.emplace(
       Attempt, attempt_record{Ticket, Shard, Run.generation(), Target.Address,
-                              /*Relayed=*/false, Run.indexName(), Kind,
-                              Clock.now(), /*Cancelled=*/false});
+                              /*Relayed=*/false, Run.latencyClass(), Kind,
+                              Clock.now()});
   if (Run.rules().MayRepeat && Kind != attempt_kind::Hedge)
     scheduleHedge(Attempt, Added.first->second);
   Commands.push_back(send_attempt{Attempt, Run.requestId(), Target.Address,
                                   Run.indexName(), Run.snapshot().Id,
                                   Run.snapshot().Shards[Shard].Id, Run.body(),
-                                  Run.deadline(), Kind, Target.Connections});
+                                  Run.deadline(), Kind, Target.Connections,
+                                  Run.forwarded(), Target.Instance});
 }
 
 void query_engine::startWaiting(std::optional<waiting_shard> Next) {
   if (!Next)
     return;
   auto Run = Runs.find(Next->Ticket);
-  if (Run != Runs.end() && Next->Shard < Run->second.snapshot().Shards.size())
-    startShard(Next->Ticket, Run->second, Next->Shard);
+  if (Run == Runs.end() || Next->Shard >= Run->second.snapshot().Shards.size())
+    return;
+  startShard(Next->Ticket, Run->second, Next->Shard);
+  finishIfOver(Next->Ticket);
 }
 
 void query_engine::startAllWaiting() {
@@ -222,12 +323,9 @@
     for (waiting_shard Next : Waiting.takeHeads())
       startWaiting(Next);
   } while (Waiting.size() < Before && ++Rounds < WaitingRounds);
-  while (Upstreams.hasRetry()) {
-    std::optional<waiting_shard> Next = Waiting.takeForBudget();
-    if (!Next)
-      return;
+  // Those whose budget pays for none yet go back into the queue.
+  for (waiting_shard Next : Waiting.takeAllForBudget())
     startWaiting(Next);
-  }
 }
 
 void query_engine::scheduleHedge(attempt_id Attempt,
@@ -248,11 +346,13 @@
   query_run *Run = findRun(Record);
   if (!Run || !Run->mayHedge(Record.Shard))
     return;
-  const shard &Target = Run->snapshot().Shards[Record.Shard];
-  const replica *Chosen = Upstreams.chooseHedge(
-      Target.Replicas, Run->tried(Record.Shard), Clock.now());
+  const replica *Chosen =
+      Upstreams.chooseHedge(replicasOf(*Run, Record.Shard),
+                            Run->tried(Record.Shard), Clock.now());
   bool Allowed = Chosen && Poison.mayStart(Run->fingerprint(), Chosen->Address);
-  if (Allowed && Upstreams.takeHedge())
+  std::string_view Budget =
+      budgetOf(*Run, Run->snapshot().Shards[Record.Shard]);
+  if (Allowed && Upstreams.takeHedge(Budget))
     return send(Record.Ticket, *Run, Record.Shard, *Chosen,
                 attempt_kind::Hedge);
   // No replica or no budget at this instant: look again later.
@@ -303,7 +403,7 @@
   bool Newer = Index && Index->Current->Id != Run.snapshot().Id;
   if (!Newer)
     return false;
-  cancelOpen(Run);
+  cancelOpen(Run, /*Stop=*/true);
   Run.restartOn(Index->Current);
   startShards(Ticket, Run);
   return true;
@@ -314,7 +414,8 @@
   if (Run == Runs.end())
     return;
   bool Refused = relay_inbox::owns(Ticket) && Run->second.awaitsSnapshot();
-  if (Run->second.complete() || Run->second.hopeless() || Refused)
+  bool Due = Run->second.late() && Run->second.enough();
+  if (Run->second.complete() || Run->second.hopeless() || Refused || Due)
     finish(Run);
 }
 
@@ -323,13 +424,15 @@
 }
 
 void query_engine::finishWith(run_map::iterator Run, query_outcome Outcome) {
-  Deadlines.erase({Run->second.deadline(), Run->first});
+  Deadlines.erase({Run->second.due(), Run->first});
+  bool Stop = stopsLosers(Run->second) ||
+              std::holds_alternative<caller_gone>(Outcome);
   releaseClaim(Run->second, Outcome);
   std::string RequestId = Run->second.requestId();
   releasePlace(Run->first, Run->second, Outcome);
   deliver(Run->first, std::move(RequestId), std::move(Outcome),
           accountOf(Run->second));
-  cancelOpen(Run->second);
+  cancelOpen(Run->second, Stop);
   for (std::size_t I = 0; I < Run->second.snapshot().Shards.size(); ++I)
     Waiting.drop({Run->first, I});
   Runs.erase(Run);
@@ -355,30 +458,32 @@
   return Account;
 }
 
-void query_engine::cancelOpen(query_run &Run) {
+void query_engine::cancelOpen(query_run &Run, bool Stop) {
   for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
-    cancelOpen(Run, I);
+    cancelOpen(Run, I, Stop);
 }
 
-void query_engine::cancelOpen(query_run &Run, std::size_t Shard) {
+void query_engine::cancelOpen(query_run &Run, std::size_t Shard, bool Stop) {
   for (attempt_id Attempt : Run.openAttempts(Shard))
-    cancel(Attempt);
+    cancel(Attempt, Stop);
 }
 
-void query_engine::cancel(attempt_id Attempt) {
+void query_engine::cancel(attempt_id Attempt, bool Stop) {
   auto Found = Attempts.find(Attempt);
-  if (Found == Attempts.end() || Found->second.Cancelled)
+  if (Found == Attempts.end())
     return;
   attempt_record &Record = Found->second;
-  Record.Cancelled = true;
-  if (Record.Relayed) {
-    Commands.push_back(cancel_relay{Attempt});
-    return;
-  }
+  bool Known = std::exchange(Record.Cancelled, true);
   time_point Now = Clock.now();
-  Upstreams.abandoned(
-      {Record.Upstream, Record.Index, Record.Kind, Now - Record.SentAt}, Now);
-  Commands.push_back(cancel_attempt{Attempt});
+  if (!Known && !Record.Relayed)
+    Upstreams.abandoned(
+        {Record.Upstream, Record.Index, Record.Kind, Now - Record.SentAt}, Now);
+  if (!Stop || std::exchange(Record.Stopped, true))
+    return;
+  if (Record.Relayed)
+    Commands.push_back(cancel_relay{Attempt});
+  else
+    Commands.push_back(cancel_attempt{Attempt});
 }
 
 void query_engine::refuse(const query_arrived &Request, query_outcome Outcome) {
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -7,6 +7,7 @@
 #include "masticproxy/src/Poison/poison_guard.h"
 #include "masticproxy/src/Query/engine_command.h"
 #include "masticproxy/src/Query/engine_event.h"
+#include "masticproxy/src/Query/index_choice.h"
 #include "masticproxy/src/Query/query_run.h"
 #include "masticproxy/src/Query/upstream_table.h"
 #include "masticproxy/src/Relay/relay_inbox.h"
@@ -42,6 +43,15 @@
   claim_timing Claims = {};
   /// Whether a query not seen before runs on one shard alone at first.
   bool ProbeFirst = false;
+  /// Whether upstreams of other data centres are spoken to directly.
+  bool AllDataCentres = false;
+  /// Connections that this VM holds to one upstream; 0: its share of them.
+  unsigned UpstreamConnections = 0;
+  /// Time kept back from a profile's target latency for the answer's way to
+  /// the caller.
+  std::chrono::milliseconds AnswerMargin{0};
+  /// What the policy is tuned by.
+  policy_tuning Tuning = {};
 };
 
 /// \brief Decides all that happens to the requests of one VM.
@@ -87,6 +97,8 @@
     time_point SentAt{};
     /// The result is no longer needed.
     bool Cancelled = false;
+    /// The upstream was told to stop.
+    bool Stopped = false;
   };
   using run_map = std::unordered_map<query_ticket, query_run>;
 
@@ -103,12 +115,23 @@
   void on(claim_decision Event);
   void on(const poison_notice &Event);
   void on(const drain_notice &Event);
+  void on(const caller_left &Event);
+
+  /// Lets a route name profile and index of a forwarded request. \returns the
+  /// route, or null where none takes it.
+  std::shared_ptr<const route> followRoute(query_arrived &Event);
+  /// \returns the upstreams that serve a shard of \p Run now.
+  std::span<const replica> replicasOf(const query_run &Run,
+                                      std::size_t Shard) const;
+  void onUnsuccessful(attempt_record Record, attempt_answered Event);
+  /// Answers a run whose time for waiting is over, or lets it wait on.
+  void onDue(run_map::iterator Run);
 
   void startShards(query_ticket Ticket, query_run &Run);
   void startShard(query_ticket Ticket, query_run &Run, std::size_t Shard);
   bool startRelay(query_ticket Ticket, query_run &Run, std::size_t Shard);
   /// Takes a retry from the budget for extra load, or pays a first attempt in.
-  void payFor(const query_run &Run, bool Retry);
+  void payFor(query_run &Run, std::size_t Shard, bool Retry);
   void send(query_ticket Ticket, query_run &Run, std::size_t Shard,
             const replica &Target, attempt_kind Kind);
   void startWaiting(std::optional<waiting_shard> Next);
@@ -117,7 +140,9 @@
   void hedge(attempt_id Attempt, const attempt_record &Record);
   void scheduleHedge(attempt_id Attempt, const attempt_record &Record);
   void noteEnd(const attempt_record &Record, const attempt_failure *Failure);
-  void cancel(attempt_id Attempt);
+  /// Notes that the result of \p Attempt is not needed; with \p Stop the
+  /// upstream is told.
+  void cancel(attempt_id Attempt, bool Stop);
   std::optional<attempt_record> endAttempt(attempt_id Attempt);
   query_run *findRun(const attempt_record &Record);
   /// Starts \p Run over where its snapshot went away and a newer one is in
@@ -131,8 +156,8 @@
                query_outcome Outcome, query_account Account = {});
   query_account accountOf(const query_run &Run) const;
   static query_outcome outcomeOf(run_map::reference Run);
-  void cancelOpen(query_run &Run);
-  void cancelOpen(query_run &Run, std::size_t Shard);
+  void cancelOpen(query_run &Run, bool Stop);
+  void cancelOpen(query_run &Run, std::size_t Shard, bool Stop);
   void finishWith(run_map::iterator Run, query_outcome Outcome);
   std::optional<query_outcome> refusalOfId(const std::string &RequestId) const;
   void awaitClaim(query_ticket Ticket, query_run &Run);
@@ -157,6 +182,7 @@
   poison_guard Poison;
   run_map Runs;
   std::unordered_map<attempt_id, attempt_record> Attempts;
+  index_choice Indexes;
   waiting_list Waiting;
   hedge_schedule Hedges;
   std::set<std::pair<time_point, query_ticket>> Deadlines;
--- a/packages/core/masticproxy/src/Query/query_engine_relay.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_relay.cpp
@@ -38,7 +38,7 @@
     return false;
   time_point Now = Clock.now();
   const shard &Target = Run.snapshot().Shards[Shard];
-  if (Upstreams.servesBy(Target.Replicas, Now + LocalPatience))
+  if (Upstreams.servesBy(replicasOf(Run, Shard), Now + LocalPatience))
     return false;
   time_point Deadline = Run.deadline() - ReturnAllowance;
   const member_info *Vm = Router.choose(Target, Run.tried(Shard), Now);
--- a/packages/core/masticproxy/src/Query/query_outcome.h
+++ b/packages/core/masticproxy/src/Query/query_outcome.h
@@ -3,7 +3,9 @@
 
 #include "masticproxy/src/Query/coverage.h"
 #include "masticproxy/src/Query/partial_answer.h"
+#include "masticproxy/src/Query/route.h"
 
+#include <chrono>
 #include <string>
 #include <variant>
 #include <vector>
@@ -15,11 +17,17 @@
   std::string Snapshot;
   coverage Coverage;
   std::vector<shard_result> Results;
+  /// How the caller wants the results.
+  answer_form Form = answer_form::Listed;
+  /// Records wanted, for the form GreatestRecords.
+  std::size_t Records = 0;
 };
 
 /// \brief The request was not run by any upstream.
 struct not_run {
   std::string Reason;
+  /// When the caller may come again; 0: at its own choice.
+  std::chrono::milliseconds RetryAfter{0};
 };
 
 /// \brief The request may have run, wholly or in part.
@@ -50,10 +58,17 @@
 /// \brief No index of that name is in force.
 struct unknown_index {};
 
+/// \brief No route in force takes the host and path of a forwarded request.
+struct unknown_route {};
+
+/// \brief The caller left; nobody hears of the outcome.
+struct caller_gone {};
+
 /// \brief What becomes of a request; exactly one for each.
 using query_outcome =
     std::variant<answered, not_run, outcome_unknown, too_late, unknown_profile,
-                 unknown_index, bad_request, condemned>;
+                 unknown_index, bad_request, condemned, unknown_route,
+                 caller_gone>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -1,5 +1,7 @@
 #include "masticproxy/src/Query/query_run.h"
 
+#include "masticproxy/src/Query/request_fingerprint.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -8,11 +10,10 @@
 query_run::query_run(query_arrived NewRequest, profile NewProfile,
                      std::shared_ptr<const index_snapshot> NewSnapshot,
                      time_point NewDeadline)
-    : Request(std::move(NewRequest)),
+    : Request(std::move(NewRequest)), Fingerprint(fingerprintOf(Request)),
       Body(std::make_shared<const std::string>(std::move(Request.Body))),
-      Fingerprint(fingerprintOf(Request.Index, *Body)),
       Profile(std::move(NewProfile)), Snapshot(std::move(NewSnapshot)),
-      Deadline(NewDeadline), Partial(Request.RequestId, Snapshot),
+      Deadline(NewDeadline), AnswerBy(NewDeadline), Partial(Request.RequestId, Snapshot),
       Shards(Snapshot->Shards.size()) {}
 
 bool query_run::wantsAttempt(std::size_t Shard) const {
@@ -21,12 +22,25 @@
     return false;
   if (Partial.has(Shard) || !State.Open.empty())
     return false;
+  if (State.GivenUp || !attemptsLeft(State))
+    return false;
   return Profile.MayRepeat || !State.MayHaveRun;
 }
 
 bool query_run::mayHedge(std::size_t Shard) const {
   bool OneOpen = Shards[Shard].Open.size() == 1;
-  return Profile.MayRepeat && OneOpen && !Partial.has(Shard);
+  return Profile.MayRepeat && OneOpen && !Partial.has(Shard) &&
+         attemptsLeft(Shards[Shard]);
+}
+
+bool query_run::attemptsLeft(const shard_state &State) const {
+  return Profile.Attempts == 0 ||
+         State.Ran + State.Open.size() < Profile.Attempts;
+}
+
+bool query_run::enough() const {
+  coverage Stated = Partial.stated();
+  return Stated.Answered > 0 && Stated.share() >= Profile.Coverage;
 }
 
 void query_run::attemptStarted(std::size_t Shard, attempt_id Attempt,
@@ -41,14 +55,35 @@
                                 upstream_result Result) {
   closeAttempt(Shard, Attempt);
   Shards[Shard].MayHaveRun = true;
+  ++Shards[Shard].Ran;
   return Partial.add(std::move(Result));
 }
 
+void query_run::attemptUnsuccessful(std::size_t Shard, attempt_id Attempt,
+                                    upstream_result Result) {
+  attemptFailed(Shard, Attempt, attempt_failure::Failed);
+  if (Route && Route->Form == answer_form::Whole)
+    Failure = shard_result{std::move(Result.Shard), std::move(Result.Body),
+                           Result.Status, std::move(Result.Signature),
+                           std::move(Result.Headers)};
+}
+
 void query_run::attemptFailed(std::size_t Shard, attempt_id Attempt,
                               attempt_failure Failure) {
   closeAttempt(Shard, Attempt);
-  if (Failure == attempt_failure::Unknown)
-    Shards[Shard].MayHaveRun = true;
+  shard_state &State = Shards[Shard];
+  bool MayHaveRun = Failure == attempt_failure::Unknown ||
+                    Failure == attempt_failure::Failed;
+  if (MayHaveRun) {
+    State.MayHaveRun = true;
+    ++State.Ran;
+  }
+  // What never left costs no upstream anything, so the next attempt at the
+  // shard of a forwarded request is its first.
+  bool Unseen = Failure == attempt_failure::NotSent && State.Ran == 0 &&
+                State.Open.empty();
+  if (Route && Unseen)
+    State.Attempted = false;
 }
 
 bool query_run::nothingRan() const {
@@ -89,7 +124,12 @@
   bool Enough = Stated.Asked == 0 || Stated.share() >= Profile.Coverage;
   if (Enough)
     return answered{std::string(Partial.snapshot()), Stated,
-                    Partial.takeResults()};
+                    Partial.takeResults(),
+                    Route ? Route->Form : answer_form::Listed,
+                    Route ? Route->Records : 0};
+  if (Failure)
+    return answered{std::string(Partial.snapshot()), Stated,
+                    {std::move(*Failure)}, answer_form::Whole};
   if (Claim.awaited())
     return not_run{"no claim was confirmed within the profile's wait"};
   if (nothingRan())
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -8,12 +8,15 @@
 #include "masticproxy/src/Query/partial_answer.h"
 #include "masticproxy/src/Query/profile.h"
 #include "masticproxy/src/Query/query_outcome.h"
+#include "masticproxy/src/Query/route.h"
 #include "masticproxy/src/Query/run_claim.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace masticproxy {
@@ -31,6 +34,20 @@
   /// \returns the pinned snapshot.
   const index_snapshot &snapshot() const { return *Snapshot; }
 
+  /// Lets the request go the way of \p NewRoute, which bounds its attempts and
+  /// forms its answer.
+  void follow(std::shared_ptr<const route> NewRoute) {
+    Route = std::move(NewRoute);
+  }
+
+  /// \returns the route of a forwarded request, or null.
+  const route *way() const { return Route.get(); }
+
+  /// \returns the caller's request where upstreams get it as it came.
+  const std::shared_ptr<const forwarded_request> &forwarded() const {
+    return Request.Forwarded;
+  }
+
   const std::string &requestId() const { return Request.RequestId; }
   const std::string &indexName() const { return Request.Index; }
   const std::shared_ptr<const std::string> &body() const { return Body; }
@@ -38,6 +55,27 @@
   const profile &rules() const { return Profile; }
   time_point deadline() const { return Deadline; }
 
+  /// \returns the queries whose latencies are like this one's.
+  const std::string &latencyClass() const {
+    return Route ? Profile.Name : Request.Index;
+  }
+
+  /// Sets when an answer of the least coverage is given, without waiting on.
+  void setAnswerBy(time_point Time) { AnswerBy = std::min(Time, Deadline); }
+
+  /// \returns when the run is next looked at for its time: when an answer of
+  /// the least coverage is due, then its deadline.
+  time_point due() const { return Late ? Deadline : AnswerBy; }
+
+  /// Notes that too few shards had answered when an answer was due.
+  void setLate() { Late = true; }
+
+  /// \returns whether the first answer of the least coverage is given at once.
+  bool late() const { return Late; }
+
+  /// \returns whether the results suffice for the profile's coverage.
+  bool enough() const;
+
   /// \returns the claim that the run needs before it may start.
   run_claim &claim() { return Claim; }
   const run_claim &claim() const { return Claim; }
@@ -49,6 +87,15 @@
   /// \returns whether the shard has been attempted on the pinned snapshot.
   bool wasAttempted(std::size_t Shard) const { return Shards[Shard].Attempted; }
 
+  /// \returns whether this is the first call for the shard: a first attempt
+  /// earns a share of a further one only once.
+  bool earns(std::size_t Shard) {
+    return !std::exchange(Shards[Shard].Earned, true);
+  }
+
+  /// Notes that no upstream serves the shard.
+  void giveUp(std::size_t Shard) { Shards[Shard].GivenUp = true; }
+
   /// \returns whether a second attempt may run beside the only open one.
   bool mayHedge(std::size_t Shard) const;
 
@@ -70,6 +117,11 @@
   bool attemptAnswered(std::size_t Shard, attempt_id Attempt,
                        upstream_result Result);
 
+  /// Notes that the upstream ran an attempt and answered with a failure, which
+  /// the caller gets if nothing better comes.
+  void attemptUnsuccessful(std::size_t Shard, attempt_id Attempt,
+                           upstream_result Failure);
+
   /// Notes that an attempt ended without a result.
   void attemptFailed(std::size_t Shard, attempt_id Attempt,
                      attempt_failure Failure);
@@ -117,16 +169,29 @@
     bool Attempted = false;
     /// An attempt may have run and gave no result.
     bool MayHaveRun = false;
+    /// Attempts that ended and may have run.
+    unsigned Ran = 0;
+    /// A first attempt has earned its share of a further one.
+    bool Earned = false;
+    /// No upstream serves the shard.
+    bool GivenUp = false;
   };
 
+  bool attemptsLeft(const shard_state &State) const;
+
   void closeAttempt(std::size_t Shard, attempt_id Attempt);
 
   query_arrived Request;
-  std::shared_ptr<const std::string> Body;
   query_fingerprint Fingerprint;
+  std::shared_ptr<const std::string> Body;
   profile Profile;
   std::shared_ptr<const index_snapshot> Snapshot;
   time_point Deadline;
+  time_point AnswerBy;
+  bool Late = false;
+  std::shared_ptr<const route> Route;
+  /// Newest failure that an upstream answered with, for answers of one shard.
+  std::optional<shard_result> Failure;
   partial_answer Partial;
   std::vector<shard_state> Shards;
   run_claim Claim;
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -27,27 +27,27 @@
                     Policy);
 }
 
-void upstream_table::firstAttempt() {
-  std::visit([](auto &P) { P.firstAttempt(); }, Policy);
+void upstream_table::firstAttempt(std::string_view Budget) {
+  std::visit([&](auto &P) { P.firstAttempt(Budget); }, Policy);
 }
 
-bool upstream_table::takeHedge() {
-  return std::visit([](auto &P) { return P.takeHedge(); }, Policy);
+bool upstream_table::takeHedge(std::string_view Budget) {
+  return std::visit([&](auto &P) { return P.takeHedge(Budget); }, Policy);
 }
 
-bool upstream_table::takeRetry() {
-  return std::visit([](auto &P) { return P.takeRetry(); }, Policy);
+bool upstream_table::takeRetry(std::string_view Budget) {
+  return std::visit([&](auto &P) { return P.takeRetry(Budget); }, Policy);
 }
 
-bool upstream_table::hasRetry() const {
-  return std::visit([](const auto &P) { return P.hasRetry(); }, Policy);
+bool upstream_table::hasRetry(std::string_view Budget) const {
+  return std::visit([&](const auto &P) { return P.hasRetry(Budget); }, Policy);
 }
 
 bool upstream_table::servesBy(std::span<const replica> Replicas,
                               time_point Latest) const {
   return std::any_of(
       Replicas.begin(), Replicas.end(), [&](const replica &Candidate) {
-        if (Candidate.DataCentre != DataCentre)
+        if (!mayChoose(Candidate))
           return false;
         if (Hearsay.keepsOut(Candidate.Address, Latest))
           return false;
@@ -88,6 +88,7 @@
     return Health.draining(Now + Drain.Span);
   case attempt_failure::NotSent:
   case attempt_failure::Unknown:
+  case attempt_failure::Failed:
     return Health.failed(Now);
   case attempt_failure::SnapshotGone:
     return;
@@ -118,9 +119,9 @@
   std::vector<candidate> Set;
   bool AnyTold = false;
   for (const replica &Replica : Replicas) {
-    if (Replica.DataCentre != DataCentre)
+    if (!mayChoose(Replica))
       continue;
-    upstream_state &State = stateOf(Replica.Address, Now);
+    upstream_state &State = stateOf(Replica, Now);
     bool WasTried =
         std::find(Tried.begin(), Tried.end(), Replica.Address) != Tried.end();
     bool ToldDraining = Hearsay.keepsOut(Replica.Address, Now);
@@ -148,6 +149,17 @@
   return Found->second;
 }
 
+upstream_table::upstream_state &
+upstream_table::stateOf(const replica &Replica, time_point Now) {
+  upstream_state &State = stateOf(Replica.Address, Now);
+  if (State.Instance == Replica.Instance)
+    return State;
+  // Another upstream has taken over the address.
+  State.Instance = Replica.Instance;
+  State.Health = upstream_health(Now);
+  return State;
+}
+
 unsigned upstream_table::slotShare(const replica &Replica,
                                    time_point Now) const {
   unsigned Places = placesAt(Replica, Now);
@@ -165,6 +177,8 @@
 
 unsigned upstream_table::placesAt(const replica &Replica,
                                   time_point Now) const {
+  if (OwnConnections > 0)
+    return std::min(OwnConnections, Replica.Connections);
   if (!Grant)
     return Replica.Connections;
   return Grant->places(Replica.Address, Replica.Connections, Now);
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Cluster/connection_grant.h"
 #include "masticproxy/src/Drain/drain_hearsay.h"
 #include "masticproxy/src/Drain/drain_teller.h"
+#include "masticproxy/src/Query/index_map.h"
 #include "masticproxy/src/Routing/attempt_facts.h"
 #include "masticproxy/src/Routing/candidate.h"
 #include "masticproxy/src/Routing/routing_policy.h"
@@ -21,7 +22,6 @@
 
 namespace masticproxy {
 
-struct replica;
 enum class attempt_failure;
 
 /// \brief What this VM has observed of each upstream, how many attempts it has
@@ -35,6 +35,13 @@
   /// Sets the data centre whose upstreams may be chosen.
   void setDataCentre(std::string Name) { DataCentre = std::move(Name); }
 
+  /// Lets the upstreams of all data centres be chosen, with \p Direct.
+  void speakToAll(bool Direct) { AllDataCentres = Direct; }
+
+  /// Sets how many connections this VM may hold to each upstream, whatever its
+  /// share of them; 0: no such bound.
+  void setOwnConnections(unsigned Most) { OwnConnections = Most; }
+
   /// Sets how many connections this VM may hold to each upstream; all that
   /// the upstream accepts before the first call.
   void setGrant(std::shared_ptr<const connection_grant> NewGrant) {
@@ -55,16 +62,17 @@
   std::optional<duration> hedgeDelay(std::string_view Index) const;
 
   /// Notes a first attempt at a shard, which earns a share of a further one.
-  void firstAttempt();
+  /// \p Budget names the load budget, here as below.
+  void firstAttempt(std::string_view Budget);
 
   /// \returns whether the load budget pays for a hedge.
-  bool takeHedge();
+  bool takeHedge(std::string_view Budget);
 
   /// \returns whether the load budget pays for a retry.
-  bool takeRetry();
+  bool takeRetry(std::string_view Budget);
 
   /// \returns whether takeRetry() would pay for one.
-  bool hasRetry() const;
+  bool hasRetry(std::string_view Budget) const;
 
   /// \returns whether some replica of the data centre takes work by \p Latest,
   /// even if all of its places are taken now.
@@ -106,13 +114,20 @@
 
     unsigned InFlight = 0;
     upstream_health Health;
+    /// Identity of the start that the health is of.
+    std::string Instance;
   };
 
+  bool mayChoose(const replica &Replica) const {
+    return AllDataCentres || Replica.DataCentre == DataCentre;
+  }
+
   std::vector<candidate> candidates(std::span<const replica> Replicas,
                                     std::span<const std::string> Tried,
                                     time_point Now);
   static void askAlone(std::vector<candidate> &Set);
   upstream_state &stateOf(std::string_view Upstream, time_point Now);
+  upstream_state &stateOf(const replica &Replica, time_point Now);
   unsigned placesAt(const replica &Replica, time_point Now) const;
   unsigned slotShare(const replica &Replica, time_point Now) const;
   void observe(const attempt_facts &Attempt);
@@ -122,6 +137,8 @@
   drain_teller Teller;
   drain_hearsay Hearsay;
   std::string DataCentre;
+  bool AllDataCentres = false;
+  unsigned OwnConnections = 0;
   std::shared_ptr<const connection_grant> Grant;
   std::map<std::string, upstream_state, std::less<>> States;
 };
--- a/packages/core/masticproxy/src/Relay/relay_inbox.cpp
+++ b/packages/core/masticproxy/src/Relay/relay_inbox.cpp
@@ -44,6 +44,12 @@
   relay_message operator()(unknown_profile &) const {
     return relay_refusal{Attempt, refusal_reason::NoUpstream};
   }
+  relay_message operator()(unknown_route &) const {
+    return relay_refusal{Attempt, refusal_reason::NoUpstream};
+  }
+  relay_message operator()(caller_gone &) const {
+    return relay_unknown{Attempt};
+  }
   relay_message operator()(unknown_index &) const {
     return relay_refusal{Attempt, refusal_reason::SnapshotUnknown};
   }
--- a/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Share of attempts that are expected to end before they are hedged.
-constexpr double HedgeQuantile = 0.97;
-
 /// Shortest time before a hedge.
 constexpr std::chrono::milliseconds LeastHedgeDelay{1};
 
@@ -111,11 +108,28 @@
   if (++State.SinceUpdate < HedgeDelayUpdate)
     return;
   State.SinceUpdate = 0;
-  State.HedgeDelay = State.Latencies.quantile(HedgeQuantile);
+  State.HedgeDelay = State.Latencies.quantile(Tuning.HedgeQuantile);
   if (State.HedgeDelay)
     State.HedgeDelay = std::max<duration>(*State.HedgeDelay, LeastHedgeDelay);
 }
 
+bool adaptive_policy::hasRetry(std::string_view Name) const {
+  if (Name.empty())
+    return Shared.hasRetry();
+  auto Found = ByShard.find(Name);
+  return Found == ByShard.end() || Found->second.hasRetry();
+}
+
+load_budget &adaptive_policy::budget(std::string_view Name) {
+  if (Name.empty())
+    return Shared;
+  auto Found = ByShard.find(Name);
+  if (Found == ByShard.end())
+    Found =
+        ByShard.emplace(std::string(Name), load_budget(Tuning.PerShard)).first;
+  return Found->second;
+}
+
 const replica *adaptive_policy::best(std::span<const candidate> Open,
                                      time_point Now) {
   duration Best = bestLatency(Open, Now);
--- a/packages/core/masticproxy/src/Routing/adaptive_policy.h
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.h
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Routing/candidate.h"
 #include "masticproxy/src/Routing/latency_histogram.h"
 #include "masticproxy/src/Routing/load_budget.h"
+#include "masticproxy/src/Routing/policy_tuning.h"
 
 #include <map>
 #include <optional>
@@ -19,7 +20,8 @@
 class adaptive_policy {
 public:
   /// \p Seed fixes the draws among equals.
-  explicit adaptive_policy(unsigned Seed) : Random(Seed) {}
+  explicit adaptive_policy(unsigned Seed, policy_tuning Tuning = {})
+      : Tuning(Tuning), Random(Seed) {}
 
   /// \returns the replica of \p Set for an attempt, or null.
   const replica *choose(std::span<const candidate> Set, time_point Now);
@@ -36,10 +38,18 @@
   /// that was given up, its age.
   void observe(std::string_view Index, duration Latency);
 
-  void firstAttempt() { Budget.firstAttempt(); }
-  bool takeHedge() { return Budget.takeHedge(); }
-  bool takeRetry() { return Budget.takeRetry(); }
-  bool hasRetry() const { return Budget.hasRetry(); }
+  /// \p Name is that of a shard with a budget of its own, or empty for the
+  /// one that all others share; here as below.
+  void firstAttempt(std::string_view Name = {}) {
+    budget(Name).firstAttempt();
+  }
+  bool takeHedge(std::string_view Name = {}) {
+    return budget(Name).takeHedge();
+  }
+  bool takeRetry(std::string_view Name = {}) {
+    return budget(Name).takeRetry();
+  }
+  bool hasRetry(std::string_view Name = {}) const;
 
 private:
   struct index_latency {
@@ -52,7 +62,11 @@
   const replica *best(std::span<const candidate> Open, time_point Now);
   bool passesRamp(const candidate &One, double Readiest, time_point Now);
 
-  load_budget Budget;
+  load_budget &budget(std::string_view Name);
+
+  policy_tuning Tuning;
+  load_budget Shared;
+  std::map<std::string, load_budget, std::less<>> ByShard;
   std::minstd_rand Random;
   std::map<std::string, index_latency, std::less<>> Indexes;
 };
--- /dev/null
+++ b/packages/core/masticproxy/src/Routing/policy_tuning.h
@@ -0,0 +1,18 @@
+#ifndef MASTICPROXY_ROUTING_POLICY_TUNING_H
+#define MASTICPROXY_ROUTING_POLICY_TUNING_H
+
+#include "masticproxy/src/Routing/load_budget.h"
+
+namespace masticproxy {
+
+/// \brief What the settings say of hedges and of extra load.
+struct policy_tuning {
+  /// Share of attempts that are expected to end before they are hedged.
+  double HedgeQuantile = 0.97;
+  /// Bounds of the budget that each shard of forwarded requests has.
+  load_budget_limits PerShard = {};
+};
+
+} // namespace masticproxy
+
+#endif
--- a/packages/core/masticproxy/src/Routing/routing_policy.h
+++ b/packages/core/masticproxy/src/Routing/routing_policy.h
@@ -20,7 +20,8 @@
 policy_name toPolicyName(std::string_view Name);
 
 /// \returns the policy \p Name, with draws fixed by \p Seed.
-routing_policy makePolicy(policy_name Name, unsigned Seed);
+routing_policy makePolicy(policy_name Name, unsigned Seed,
+                          policy_tuning Tuning = {});
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Routing/waiting_list.cpp
+++ b/packages/core/masticproxy/src/Routing/waiting_list.cpp
@@ -51,6 +51,13 @@
   return Heads;
 }
 
+std::vector<waiting_shard> waiting_list::takeAllForBudget() {
+  std::vector<waiting_shard> All;
+  while (std::optional<waiting_shard> Next = takeForBudget())
+    All.push_back(*Next);
+  return All;
+}
+
 std::uint64_t waiting_list::renew(waiting_shard Shard) {
   return Live[Shard] = NextNumber++;
 }
--- a/packages/core/masticproxy/src/Routing/waiting_list.h
+++ b/packages/core/masticproxy/src/Routing/waiting_list.h
@@ -51,6 +51,9 @@
   /// Removes and \returns the first shard that waits for the load budget.
   std::optional<waiting_shard> takeForBudget() { return takeFirst(Budget); }
 
+  /// Removes and \returns all shards that wait for the load budget.
+  std::vector<waiting_shard> takeAllForBudget();
+
   /// Removes and \returns the first shard of each upstream.
   std::vector<waiting_shard> takeHeads();
 
--- a/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
@@ -21,6 +21,8 @@
     return "snapshot_gone";
   case attempt_failure::Unknown:
     return "unknown";
+  case attempt_failure::Failed:
+    return "failed";
   }
   return "unknown";
 }
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -3,6 +3,7 @@
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/effect_log.h"
+#include "masticproxy/src/Daemon/forwarding.h"
 #include "masticproxy/src/Daemon/outcome_response.h"
 #include "masticproxy/src/Daemon/query_request.h"
 #include "masticproxy/src/Daemon/timeline_line.h"
@@ -27,6 +28,9 @@
 constexpr std::uint8_t UuidVersion7 = 0x70;
 constexpr std::uint8_t LowNibble = 0x0f;
 
+/// How much longer an idle connection is kept than callers were told.
+constexpr std::chrono::seconds IdleMargin{5};
+
 http_response plainText(std::string Body) {
   http_response Response;
   Response.Headers.emplace_back("content-type", "text/plain; version=0.0.4");
@@ -55,9 +59,10 @@
                                const clock &Clock, counter_registry &Counters,
                                event_log &Events,
                                const published<node_status> &Status,
-                               const effect_log &Effects)
+                               const effect_log &Effects,
+                               const forwarding_names &Names)
     : Settings(Settings), Clock(Clock), Counters(Counters), Events(Events),
-      Status(Status), Effects(Effects), Outcomes(RequestRingCapacity, [this] {
+      Status(Status), Effects(Effects), Names(Names), Outcomes(RequestRingCapacity, [this] {
         Loop.post([this] {
           Outcomes.drain([this](deliver_outcome O) { deliver(std::move(O)); });
         });
@@ -72,8 +77,18 @@
   Server = std::make_unique<http_server>(
       Loop.context(), Settings.CallersAddress, Limits,
       [this](http_request Request, const http_server::responder &Respond) {
-        handle(std::move(Request), Respond);
+        if (Settings.ForwardCallers)
+          forward(std::move(Request), Respond);
+        else
+          handle(std::move(Request), Respond);
       });
+  Server->onCallerGone([this](query_ticket Ticket) { onCallerGone(Ticket); });
+  if (!Settings.PagesAddress.empty())
+    Pages = std::make_unique<http_server>(
+        Loop.context(), Settings.PagesAddress, http_server_limits{},
+        [this](http_request Request, const http_server::responder &Respond) {
+          Respond(handleRead(Request));
+        });
   Loop.start();
 }
 
@@ -81,6 +96,7 @@
   Loop.stop();
   Pending.clear();
   Server.reset();
+  Pages.reset();
 }
 
 void callers_thread::stopBeingReady() {
@@ -109,6 +125,7 @@
 
 void callers_thread::handleQuery(http_request Request,
                                  const http_server::responder &Respond) {
+  query_ticket Serial = Request.Serial;
   std::string RequestId(findHeader(Request.Headers, "x-request-id"));
   if (RequestId.empty())
     RequestId = newRequestId();
@@ -118,14 +135,51 @@
   if (!configured())
     return Respond(toCallerResponse(RequestId, not_run{whyNotConfigured()}));
   auto &Query = std::get<query_arrived>(Read);
-  query_ticket Ticket = NextTicket++;
+  Query.Ticket = Serial;
+  if (!submit(std::move(Query), {Respond, /*Forwarded=*/false}))
+    Respond(toCallerResponse(RequestId, not_run{"this VM is overloaded"}));
+}
+
+void callers_thread::forward(http_request Request,
+                             const http_server::responder &Respond) {
+  query_ticket Ticket = Request.Serial;
+  query_arrived Query = toForwardedQuery(std::move(Request), Names);
   Query.Ticket = Ticket;
-  Pending.emplace(Ticket, Respond);
-  if (Engine->push(Query))
-    return;
+  if (Query.RequestId.empty())
+    Query.RequestId = newRequestId();
+  std::string RequestId = Query.RequestId;
+  if (!configured())
+    return Respond(toForwardedResponse(RequestId, not_run{whyNotConfigured()},
+                                       Names));
+  applyLimits();
+  if (!submit(std::move(Query), {Respond, /*Forwarded=*/true}))
+    Respond(toForwardedResponse(RequestId, not_run{"this VM is overloaded"},
+                                Names));
+}
+
+bool callers_thread::submit(query_arrived Query, pending_request Request) {
+  query_ticket Ticket = Query.Ticket;
+  Pending.emplace(Ticket, std::move(Request));
+  if (Engine->push(std::move(Query)))
+    return true;
   Pending.erase(Ticket);
   Counters.get("query_ring_full_total").add();
-  Respond(toCallerResponse(RequestId, not_run{"this VM is overloaded"}));
+  return false;
+}
+
+void callers_thread::onCallerGone(query_ticket Ticket) {
+  if (Pending.erase(Ticket) == 0)
+    return;
+  Counters.get("callers_gone_total").add();
+  if (!Engine->push(caller_left{Ticket}))
+    Counters.get("query_ring_full_total").add();
+}
+
+void callers_thread::applyLimits() {
+  caller_limits Limits = Status.get()->CallerLimits;
+  Server->setBodyBytes(Limits.BodyBytes);
+  // A caller must never find a connection closed that it may still use.
+  Server->setIdleTimeout(Limits.IdleTimeout + IdleMargin);
 }
 
 http_response callers_thread::handleRead(const http_request &Request) const {
@@ -206,9 +260,13 @@
   auto Found = Pending.find(Outcome.Ticket);
   if (Found == Pending.end())
     return;
-  http_server::responder Respond = std::move(Found->second);
+  pending_request Request = std::move(Found->second);
   Pending.erase(Found);
-  Respond(toCallerResponse(Outcome.RequestId, std::move(Outcome.Outcome)));
+  Request.Respond(
+      Request.Forwarded
+          ? toForwardedResponse(Outcome.RequestId, std::move(Outcome.Outcome),
+                                Names)
+          : toCallerResponse(Outcome.RequestId, std::move(Outcome.Outcome)));
 }
 
 std::string callers_thread::newRequestId() {
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.h
@@ -19,6 +19,7 @@
 class counter_registry;
 class effect_log;
 class event_log;
+struct forwarding_names;
 struct node_settings;
 
 /// \brief Serves callers, the balancer and operators over HTTP.
@@ -27,7 +28,7 @@
   callers_thread(const node_settings &Settings, const clock &Clock,
                  counter_registry &Counters, event_log &Events,
                  const published<node_status> &Status,
-                 const effect_log &Effects);
+                 const effect_log &Effects, const forwarding_names &Names);
   ~callers_thread();
 
   /// Sets the ring that requests go to; before start().
@@ -50,8 +51,19 @@
   std::size_t connections();
 
 private:
+  /// A request that waits for its outcome.
+  struct pending_request {
+    http_server::responder Respond;
+    bool Forwarded = false;
+  };
+
   void handle(http_request Request, const http_server::responder &Respond);
   void handleQuery(http_request Request, const http_server::responder &Respond);
+  void forward(http_request Request, const http_server::responder &Respond);
+  /// Hands \p Query to the engine. \returns whether it took it.
+  bool submit(query_arrived Query, pending_request Pending);
+  void onCallerGone(query_ticket Ticket);
+  void applyLimits();
   http_response handleRead(const http_request &Request) const;
   http_response readPage(const http_request &Request) const;
   bool configured() const;
@@ -67,12 +79,14 @@
   event_log &Events;
   const published<node_status> &Status;
   const effect_log &Effects;
+  const forwarding_names &Names;
   loop_thread Loop;
   std::unique_ptr<http_server> Server;
+  /// Serves the pages, where they stand apart.
+  std::unique_ptr<http_server> Pages;
   outcome_ring Outcomes;
   query_ring *Engine = nullptr;
-  std::unordered_map<query_ticket, http_server::responder> Pending;
-  query_ticket NextTicket = 1;
+  std::unordered_map<query_ticket, pending_request> Pending;
   std::atomic<bool> Ready{true};
 };
 
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/daemon_log.h"
+#include "masticproxy/src/Daemon/discovery_log.h"
 #include "masticproxy/src/Daemon/effect_log.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Query/query_catalogue.h"
@@ -63,7 +64,7 @@
       Share(Links.Clock, shareTimingOf(Links.Settings)),
       Sync(Links.Clock, Links.Settings.PeersAddress,
            Links.Settings.HeartbeatInterval),
-      Catalogue(std::make_shared<const query_catalogue>()) {}
+      Directory(Links.Clock), Catalogue(std::make_shared<const query_catalogue>()) {}
 
 void control_duty::drainRings() {
   // After a pause, what the rings kept is older than the members' silence.
@@ -71,6 +72,10 @@
   Links.FromPlatform.drain([this](platform_event Event) {
     std::visit([this](auto E) { on(std::move(E)); }, std::move(Event));
   });
+  Links.Configurations.drain(
+      [this](discovery_event Event) { on(std::move(Event)); });
+  Links.Registrations.drain(
+      [this](discovery_event Event) { on(std::move(Event)); });
   Links.FromPeers.drain([this](peer_message Message) {
     std::visit([this](auto M) { on(std::move(M)); }, std::move(Message));
   });
@@ -83,6 +88,7 @@
 
 void control_duty::beat() {
   Members.tick();
+  publishRouting(Directory.expire());
   decide();
   for (const member_info &Peer : Members.receivers())
     sendHeartbeat(Peer);
@@ -144,6 +150,18 @@
                                    : platform_contact::Lost;
 }
 
+void control_duty::on(discovery_event Event) {
+  logDiscovery(Event);
+  publishRouting(Directory.handle(std::move(Event)));
+}
+
+void control_duty::publishRouting(std::shared_ptr<const query_catalogue> Next) {
+  if (!Next)
+    return;
+  Catalogue = std::move(Next);
+  publishCatalogue();
+}
+
 void control_duty::on(const platform_changed &Changed) {
   std::uint64_t Before = Sync.table().revision();
   takeIn(Changed.Changes);
@@ -291,10 +309,16 @@
   Status->Self = Members.self();
   Status->Peers = Members.peers();
   Status->ConfigurationRevision = Sync.table().revision();
+  if (Links.Settings.PlatformIsStore)
+    Status->ConfigurationRevision =
+        Directory.complete() ? Directory.version().value_or(0) : 0;
+  Status->CallerLimits = Directory.limits();
   Status->PlatformReachable = platformReached();
   Status->Watching = Watching;
   Status->PlatformBehind = Watching && PlatformBehind;
-  Status->SharesSettled = Share.grant().Settled;
+  // With a number of its own, a VM needs to know of no others.
+  Status->SharesSettled =
+      Share.grant().Settled || Links.Settings.UpstreamConnections > 0;
   Status->Sharers = Share.grant().Others.size() + 1;
   for (const auto &[Key, Object] : InForce)
     Status->Objects.push_back(Object);
@@ -302,6 +326,8 @@
 }
 
 bool control_duty::platformReached() const {
+  if (Links.Settings.PlatformIsStore)
+    return Links.PlatformReachable();
   if (Watching)
     return Links.PlatformReachable();
   return Watchers.anyReaches(Members.peers());
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.h
@@ -10,6 +10,7 @@
 #include "masticproxy/src/Daemon/control_links.h"
 #include "masticproxy/src/Daemon/daemon_rings.h"
 #include "masticproxy/src/Daemon/node_status.h"
+#include "masticproxy/src/Discovery/routing_directory.h"
 
 #include <map>
 #include <string>
@@ -45,6 +46,8 @@
   void on(const poison_notice &Notice);
   void on(const drain_notice &Notice);
   bool takeOver(const configuration_record &Record);
+  void on(discovery_event Event);
+  void publishRouting(std::shared_ptr<const query_catalogue> Next);
   void decide();
   void chooseWatching();
   void sendHeartbeat(const member_info &Peer);
@@ -69,6 +72,7 @@
   connection_share Share;
   configuration_sync Sync;
   watcher_choice Watchers;
+  routing_directory Directory;
   std::shared_ptr<const query_catalogue> Catalogue;
   std::map<object_key, object_in_force> InForce;
   std::vector<member_info> Remotes;
--- a/packages/daemon/masticproxy/src/Daemon/control_links.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_links.h
@@ -27,6 +27,9 @@
   platform_event_ring &FromPlatform;
   peer_inbox_ring &FromPeers;
   notice_ring &FromEngine;
+  /// What the platform's store says, one ring for each kind of object.
+  discovery_ring &Configurations;
+  discovery_ring &Registrations;
   update_ring &ToEngine;
   peer_outbox_ring &ToPeers;
   published<node_status> &Status;
--- a/packages/daemon/masticproxy/src/Daemon/daemon_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_log.cpp
@@ -19,7 +19,7 @@
       " %m%n";
   auto Layout = std::make_shared<log4cxx::PatternLayout>(Pattern);
   auto Appender = std::make_shared<log4cxx::ConsoleAppender>(
-      Layout, log4cxx::ConsoleAppender::getSystemErr());
+      Layout, log4cxx::ConsoleAppender::getSystemOut());
   log4cxx::BasicConfigurator::configure(Appender);
   setLogLevel(Level);
 }
--- a/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
@@ -6,6 +6,7 @@
 #include "masticproxy/src/Cluster/connection_grant.h"
 #include "masticproxy/src/Cluster/member_info.h"
 #include "masticproxy/src/Cluster/peer_message.h"
+#include "masticproxy/src/Discovery/discovery_event.h"
 #include "masticproxy/src/Net/ring_channel.h"
 #include "masticproxy/src/Query/engine_command.h"
 #include "masticproxy/src/Query/engine_event.h"
@@ -65,7 +66,11 @@
 /// From the platform duty to control.
 using platform_event = std::variant<platform_changed, vms_listed>;
 
-using query_ring = ring_channel<query_arrived>;
+/// From the callers' duty to the engine.
+using caller_event = std::variant<query_arrived, caller_left>;
+
+using query_ring = ring_channel<caller_event>;
+using discovery_ring = ring_channel<discovery_event>;
 using outcome_ring = ring_channel<deliver_outcome>;
 using update_ring = ring_channel<engine_update>;
 using upstream_command_ring = ring_channel<upstream_command>;
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_log.cpp
@@ -0,0 +1,36 @@
+#include "masticproxy/src/Daemon/discovery_log.h"
+
+#include "masticproxy/src/Daemon/daemon_log.h"
+
+using namespace masticproxy;
+
+namespace {
+
+struct line_writer {
+  void operator()(const configuration_read &Event) const {
+    const routing_configuration &Read = *Event.Configuration;
+    logInfo("event=configuration_read version=" + std::to_string(Read.Version) +
+            " routes=" + std::to_string(Read.Routes.size()) +
+            " shards=" + std::to_string(Read.Services.size()));
+  }
+  void operator()(const upstreams_listed &Event) const {
+    logInfo("event=upstreams_listed count=" +
+            std::to_string(Event.Entries.size()));
+  }
+  void operator()(const upstream_registered &Event) const {
+    const upstream_entry &Entry = Event.Entry;
+    logInfo("event=upstream_registered instance=" + Entry.Instance +
+            " shard=" + Entry.Shard + " upstream=" + Entry.Address +
+            " data_centre=" + Entry.DataCentre +
+            " draining=" + (Entry.Draining ? "true" : "false"));
+  }
+  void operator()(const upstream_lapsed &Event) const {
+    logInfo("event=upstream_lapsed instance=" + Event.Instance);
+  }
+};
+
+} // namespace
+
+void masticproxy::logDiscovery(const discovery_event &Event) {
+  std::visit(line_writer{}, Event);
+}
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -0,0 +1,98 @@
+#include "masticproxy/src/Daemon/discovery_thread.h"
+
+#include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/daemon_log.h"
+#include "masticproxy/src/Net/platform_caller.h"
+
+#include <random>
+
+using namespace masticproxy;
+
+namespace {
+
+constexpr std::chrono::milliseconds FirstPause{100};
+
+/// Short enough for a configuration to be in force in time after an outage.
+constexpr std::chrono::milliseconds LongestPause{1500};
+
+/// Pause after news, so that changes in quick succession come with one call.
+constexpr std::chrono::milliseconds GatherTime{150};
+
+} // namespace
+
+discovery_thread::discovery_thread(std::string Kind,
+                                   const platform_caller &Platform,
+                                   const object_codec &Codec,
+                                   std::chrono::milliseconds WatchWait,
+                                   counter_registry &Counters,
+                                   discovery_ring &Control)
+    : Kind(std::move(Kind)), Feed(Platform, Codec), WatchWait(WatchWait),
+      Counters(Counters), Control(Control), Backoff(FirstPause, LongestPause) {}
+
+discovery_thread::~discovery_thread() { stop(); }
+
+void discovery_thread::start() {
+  Thread = std::thread([this] { run(); });
+}
+
+void discovery_thread::stop() {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Stopping = true;
+  }
+  Wake.notify_all();
+  if (Thread.joinable())
+    Thread.join();
+}
+
+void discovery_thread::run() {
+  while (!stopping())
+    step();
+}
+
+void discovery_thread::step() {
+  Counters.get("platform_calls_total", "kind=\"" + Kind + "\"").add();
+  feed_result Result = Feed.next(WatchWait);
+  if (auto *Failure = std::get_if<platform_unavailable>(&Result))
+    return onFailure(*Failure);
+  Backoff.onSuccess();
+  if (!Reachable.exchange(true))
+    logInfo("event=platform_answers kind=" + Kind);
+  take(std::move(std::get<feed_news>(Result)));
+}
+
+void discovery_thread::take(feed_news News) {
+  for (const std::string &Problem : News.Problems) {
+    Counters.get("platform_objects_unreadable_total").add();
+    logWarning("event=object_left_out object=\"" + Problem + "\"");
+  }
+  if (News.Events.empty())
+    return;
+  for (const discovery_event &Event : News.Events)
+    while (!Control.push(Event) && !stopping())
+      std::this_thread::yield();
+  // What a list brings is followed at once; the history may be short.
+  if (!News.Listed)
+    pause(GatherTime);
+}
+
+void discovery_thread::onFailure(const platform_unavailable &Failure) {
+  if (stopping())
+    return;
+  Counters.get("platform_errors_total", "kind=\"" + Kind + "\"").add();
+  if (Reachable.exchange(false))
+    logWarning("event=platform_lost kind=" + Kind + " reason=\"" +
+               Failure.Reason + "\"");
+  thread_local std::minstd_rand Random{std::random_device{}()};
+  pause(Backoff.onFailure(std::uniform_real_distribution<>(0, 1)(Random)));
+}
+
+void discovery_thread::pause(duration Span) {
+  std::unique_lock<std::mutex> Lock(Mutex);
+  Wake.wait_for(Lock, Span, [this] { return Stopping; });
+}
+
+bool discovery_thread::stopping() {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  return Stopping;
+}
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -0,0 +1,59 @@
+#ifndef MASTICPROXY_DAEMON_DISCOVERY_THREAD_H
+#define MASTICPROXY_DAEMON_DISCOVERY_THREAD_H
+
+#include "masticproxy/src/Base/retry_backoff.h"
+#include "masticproxy/src/Daemon/daemon_rings.h"
+#include "masticproxy/src/Net/object_feed.h"
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace masticproxy {
+
+class counter_registry;
+
+/// \brief Follows one kind of the platform's objects, and tells control what
+/// they say.
+class discovery_thread {
+public:
+  /// \p Kind names what is followed, in logs and counters.
+  discovery_thread(std::string Kind, const platform_caller &Platform,
+                   const object_codec &Codec,
+                   std::chrono::milliseconds WatchWait,
+                   counter_registry &Counters, discovery_ring &Control);
+  ~discovery_thread();
+
+  void start();
+  void stop();
+
+  /// \returns whether the last call was answered.
+  bool reachable() const { return Reachable.load(); }
+
+private:
+  void run();
+  void step();
+  void take(feed_news News);
+  void onFailure(const platform_unavailable &Failure);
+  void pause(duration Span);
+  bool stopping();
+
+  std::string Kind;
+  object_feed Feed;
+  std::chrono::milliseconds WatchWait;
+  counter_registry &Counters;
+  discovery_ring &Control;
+  std::atomic<bool> Reachable{false};
+  retry_backoff Backoff;
+  std::mutex Mutex;
+  std::condition_variable Wake;
+  bool Stopping = false;
+  std::thread Thread;
+};
+
+} // namespace masticproxy
+
+#endif
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -17,11 +17,8 @@
       Queries(RequestRingCapacity,
               [this] {
                 Loop.post([this] {
-                  Queries.drain([this](query_arrived E) {
-                    this->Events.add("query_arrived", E.RequestId, E.Profile,
-                                     {.Profile = E.Profile});
-                    handle(std::move(E));
-                  });
+                  Queries.drain(
+                      [this](caller_event E) { receive(std::move(E)); });
                 });
               }),
       UpstreamEvents(RequestRingCapacity,
@@ -144,6 +141,13 @@
     Counters.get("relay_ring_full_total").add();
 }
 
+void engine_thread::receive(caller_event Event) {
+  if (auto *Query = std::get_if<query_arrived>(&Event))
+    Events.add("query_arrived", Query->RequestId, Query->Profile,
+               {.Profile = Query->Profile});
+  std::visit([this](auto E) { handle(std::move(E)); }, std::move(Event));
+}
+
 void engine_thread::receive(relay_event Event) {
   if (auto *Arrived = std::get_if<relay_arrived>(&Event)) {
     Counters.get("relay_attempts_received_total").add();
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -54,6 +54,7 @@
   void carryOut(const send_relay &Command);
   void carryOut(const cancel_relay &Command);
   void carryOut(const answer_relay &Command);
+  void receive(caller_event Event);
   void receive(relay_event Event);
   void carryOut(const claim_wanted &Command);
   void carryOut(const claim_unused &Command);
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Daemon/claims_thread.h"
 #include "masticproxy/src/Daemon/control_actor.h"
 #include "masticproxy/src/Daemon/control_duty.h"
+#include "masticproxy/src/Daemon/discovery_thread.h"
 #include "masticproxy/src/Daemon/daemon_log.h"
 #include "masticproxy/src/Daemon/effect_log.h"
 #include "masticproxy/src/Daemon/engine_thread.h"
@@ -15,6 +16,9 @@
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Net/http_platform.h"
 #include "masticproxy/src/Net/os_clock.h"
+#include "masticproxy/src/Platform/configuration_codec.h"
+#include "masticproxy/src/Platform/header_names.h"
+#include "masticproxy/src/Platform/upstream_codec.h"
 
 #include <stop_token>
 #include <thread>
@@ -40,6 +44,15 @@
   Limits.Policy = toPolicyName(Settings.QueryPolicy);
   Limits.Seed = static_cast<unsigned>(std::hash<std::string>()(Settings.Name));
   Limits.ProbeFirst = Settings.ProbeFirst;
+  Limits.AllDataCentres = Settings.AllDataCentres;
+  Limits.UpstreamConnections = Settings.UpstreamConnections;
+  Limits.AnswerMargin = Settings.AnswerMargin;
+  Limits.Tuning.HedgeQuantile = Settings.HedgeQuantile;
+  // Hedges may take half of it; failures may need all.
+  Limits.Tuning.PerShard.OrdinaryShare = Settings.ExtraLoad / 2;
+  Limits.Tuning.PerShard.FaultShare = Settings.ExtraLoad / 2;
+  Limits.Tuning.PerShard.Initial = Settings.ExtraLoadSaved / 2;
+  Limits.Tuning.PerShard.Capacity = Settings.ExtraLoadSaved / 2;
   return Limits;
 }
 
@@ -49,11 +62,15 @@
   explicit parts(node_settings NewSettings)
       : Settings(std::move(NewSettings)), Timeline(Clock),
         Events(Timeline, Settings.TimelineEvents),
+        Names(Settings.PlatformIsStore ? platform::HeaderNames
+                                       : forwarding_names{}),
+        StoreCaller(Settings.PlatformAddress, Settings.PlatformCallTimeout,
+                    PlatformStop.get_token()),
         Platform(Settings.PlatformAddress, Settings.PlatformCallTimeout,
                  PlatformStop.get_token()),
         Engine(Clock, engineLimits(Settings), Counters, Events, Effects),
-        Upstreams(Clock, Counters, Grant),
-        Callers(Settings, Clock, Counters, Events, Status, Effects),
+        Upstreams(Clock, Counters, Grant, Settings.UpstreamConnections, Names),
+        Callers(Settings, Clock, Counters, Events, Status, Effects, Names),
         Relay(Clock, Timeline, Counters, Events, Settings.Name, Incarnation),
         Peers(Settings.PeersAddress, Timeline, Counters),
         PlatformDuty(Platform, Clock, Settings.PlatformWatchWait, Counters),
@@ -61,6 +78,12 @@
         FromPlatform(ControlRingCapacity, [this] { wakeControl(); }),
         FromPeers(ControlRingCapacity, [this] { wakeControl(); }),
         FromEngine(ControlRingCapacity, [this] { wakeControl(); }),
+        Configurations(ControlRingCapacity, [this] { wakeControl(); }),
+        Registrations(ControlRingCapacity, [this] { wakeControl(); }),
+        ConfigurationDuty("configuration", StoreCaller, ConfigurationCodec,
+                          Settings.PlatformWatchWait, Counters, Configurations),
+        RegistrationDuty("registrations", StoreCaller, UpstreamCodec,
+                         Settings.PlatformWatchWait, Counters, Registrations),
         Links{Settings,
               Clock,
               Counters,
@@ -70,11 +93,13 @@
               FromPlatform,
               FromPeers,
               FromEngine,
+              Configurations,
+              Registrations,
               Engine.updates(),
               Peers.outbox(),
               Status,
               Grant,
-              [this] { return PlatformDuty.reachable(); },
+              [this] { return platformReachable(); },
               [this] { return Upstreams.appliedGrant(); },
               [this](bool Watch, std::uint64_t Revision) {
                 PlatformDuty.follow(Watch, Revision);
@@ -96,6 +121,12 @@
     return Settings.Name + "/" + std::to_string(Clock.wallTime().count());
   }
 
+  bool platformReachable() const {
+    if (Settings.PlatformIsStore)
+      return ConfigurationDuty.reachable() && RegistrationDuty.reachable();
+    return PlatformDuty.reachable();
+  }
+
   void wakeControl() { caf::anon_send(Control, wake_atom_v); }
 
   node_settings Settings;
@@ -109,6 +140,10 @@
   published<node_status> Status;
   published<connection_grant> Grant;
   std::stop_source PlatformStop;
+  forwarding_names Names;
+  platform_caller StoreCaller;
+  platform::configuration_codec ConfigurationCodec;
+  platform::upstream_codec UpstreamCodec;
   http_platform Platform;
   engine_thread Engine;
   upstreams_thread Upstreams;
@@ -120,6 +155,10 @@
   platform_event_ring FromPlatform;
   peer_inbox_ring FromPeers;
   notice_ring FromEngine;
+  discovery_ring Configurations;
+  discovery_ring Registrations;
+  discovery_thread ConfigurationDuty;
+  discovery_thread RegistrationDuty;
   control_links Links;
   control_duty Duty;
   control_system_config ActorConfig;
@@ -132,6 +171,8 @@
 
 entry_daemon::~entry_daemon() {
   Parts->PlatformStop.request_stop();
+  Parts->ConfigurationDuty.stop();
+  Parts->RegistrationDuty.stop();
   Parts->PlatformDuty.stop();
   Parts->Claims.stop();
   Parts->Peers.stop();
@@ -150,10 +191,17 @@
   Parts->Engine.start();
   Parts->Upstreams.start();
   Parts->Callers.start();
-  Parts->Relay.start();
-  Parts->Peers.start();
-  Parts->PlatformDuty.start();
-  Parts->Claims.start();
+  if (Parts->Settings.PeersExchange) {
+    Parts->Relay.start();
+    Parts->Peers.start();
+  }
+  if (Parts->Settings.PlatformIsStore) {
+    Parts->ConfigurationDuty.start();
+    Parts->RegistrationDuty.start();
+  } else {
+    Parts->PlatformDuty.start();
+    Parts->Claims.start();
+  }
   logInfo("event=started data_centre=" + Parts->Settings.DataCentre +
           " callers=" + Parts->Settings.CallersAddress +
           " peers=" + Parts->Settings.PeersAddress);
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
@@ -0,0 +1,215 @@
+#include "masticproxy/src/Daemon/forwarding.h"
+
+#include "masticproxy/src/Daemon/end_to_end_headers.h"
+#include "masticproxy/src/Daemon/outcome_response.h"
+#include "masticproxy/src/Net/http_status.h"
+#include "masticproxy/src/Query/greatest_records.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <cstdio>
+
+using namespace masticproxy;
+
+namespace {
+
+/// Statuses below are informational or successes; the first is an error.
+constexpr unsigned FirstRedirection = 300;
+
+/// Pause for a caller that was refused for another reason than a known one:
+/// long enough for an upstream to finish what it runs.
+constexpr std::chrono::milliseconds UsualRetryAfter{100};
+
+/// The host of a `Host` field, without the port.
+std::string hostOf(std::string_view Field) {
+  std::size_t Colon = Field.rfind(':');
+  // An IPv6 number has colons within its brackets.
+  bool HasPort =
+      Colon != std::string_view::npos && Field.find(']', Colon) == Field.npos;
+  std::string Host(HasPort ? Field.substr(0, Colon) : Field);
+  std::transform(Host.begin(), Host.end(), Host.begin(), [](unsigned char C) {
+    return static_cast<char>(std::tolower(C));
+  });
+  return Host;
+}
+
+std::optional<std::chrono::milliseconds> milliseconds(std::string_view Text) {
+  std::int64_t Number = 0;
+  auto [Stop, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  if (Error != std::errc() || Text.empty() || Number < 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(Number);
+}
+
+std::string secondsText(std::chrono::milliseconds Span) {
+  std::chrono::duration<double> Seconds = Span;
+  char Text[32];
+  std::snprintf(Text, sizeof(Text), "%.3f", Seconds.count());
+  return Text;
+}
+
+http_response wholeResponse(answered Outcome) {
+  shard_result &Only = Outcome.Results.front();
+  http_response Response;
+  Response.Status = Only.Status;
+  Response.Headers = std::move(Only.Headers);
+  Response.Body = std::move(Only.Body);
+  return Response;
+}
+
+http_response mergedResponse(const answered &Outcome,
+                             const forwarding_names &Names) {
+  std::vector<std::string_view> Bodies;
+  std::string Signatures;
+  for (const shard_result &Result : Outcome.Results) {
+    Bodies.push_back(Result.Body);
+    Signatures += (Signatures.empty() ? "" : ", ") + Result.Signature;
+  }
+  std::size_t Missing = Outcome.Coverage.Asked - Outcome.Coverage.Answered;
+  http_response Response;
+  Response.Headers = {
+      {"content-type", "application/octet-stream"},
+      {std::string(Names.Signatures), std::move(Signatures)},
+      {std::string(Names.MissingShards), std::to_string(Missing)}};
+  Response.Body = greatestRecords(Bodies, Outcome.Records);
+  return Response;
+}
+
+http_response refusal(std::string_view RequestId, std::string_view Code,
+                      std::string_view Reason,
+                      std::chrono::milliseconds RetryAfter) {
+  http_response Response =
+      errorResponse(StatusUnavailable, Code, Reason, RequestId);
+  std::chrono::milliseconds Pause =
+      RetryAfter.count() > 0 ? RetryAfter : UsualRetryAfter;
+  Response.Headers.emplace_back("retry-after", secondsText(Pause));
+  return Response;
+}
+
+struct forwarded_renderer {
+  std::string_view RequestId;
+  const forwarding_names &Names;
+
+  http_response operator()(answered Outcome) const {
+    if (Outcome.Form == answer_form::Whole && Outcome.Results.size() == 1)
+      return wholeResponse(std::move(Outcome));
+    return mergedResponse(Outcome, Names);
+  }
+  http_response operator()(const not_run &Outcome) const {
+    return refusal(RequestId, "not_run", Outcome.Reason, Outcome.RetryAfter);
+  }
+  http_response operator()(const outcome_unknown &Outcome) const {
+    return errorResponse(StatusBadGateway, "outcome_unknown", Outcome.Reason,
+                         RequestId);
+  }
+  http_response operator()(const too_late &) const {
+    return errorResponse(StatusGatewayTimeout, "too_late",
+                         "too few shards answered", RequestId);
+  }
+  http_response operator()(const unknown_route &) const {
+    return errorResponse(StatusNotFound, "unknown_route",
+                         "no route in force takes this host and path; the "
+                         "request was not run",
+                         RequestId);
+  }
+  http_response operator()(const condemned &Outcome) const {
+    if (Outcome.MayHaveRun)
+      return errorResponse(StatusBadGateway, "condemned",
+                           "upstreams died while they ran this request",
+                           RequestId);
+    return refusal(RequestId, "condemned",
+                   "upstreams died while they ran this request; it is not run "
+                   "again for some minutes",
+                   {});
+  }
+  http_response operator()(const unknown_profile &) const {
+    return refusal(RequestId, "not_run", "the route's profile is not in force",
+                   {});
+  }
+  http_response operator()(const unknown_index &) const {
+    return refusal(RequestId, "not_run", "the route's index is not in force",
+                   {});
+  }
+  http_response operator()(const bad_request &Outcome) const {
+    return errorResponse(StatusBadRequest, "bad_request", Outcome.Reason,
+                         RequestId);
+  }
+  // Nobody reads it.
+  http_response operator()(const caller_gone &) const { return {}; }
+};
+
+} // namespace
+
+query_arrived masticproxy::toForwardedQuery(http_request Request,
+                                            const forwarding_names &Names) {
+  query_arrived Query;
+  Query.RequestId = findHeader(Request.Headers, Names.RequestId);
+  Query.CallerWait = milliseconds(findHeader(Request.Headers, Names.TimeLeft));
+  auto Forwarded = std::make_shared<forwarded_request>();
+  Forwarded->Host = hostOf(findHeader(Request.Headers, "host"));
+  Forwarded->Headers = endToEndHeaders(std::move(Request.Headers));
+  std::erase_if(Forwarded->Headers, [&](const auto &Field) {
+    return Field.first == Names.TimeLeft ||
+           Field.first == Names.ExpectedInstance;
+  });
+  Forwarded->Method = std::move(Request.Method);
+  Forwarded->Target = std::move(Request.Target);
+  Forwarded->Body = std::move(Request.Body);
+  Query.Forwarded = std::move(Forwarded);
+  return Query;
+}
+
+http_response masticproxy::toForwardedResponse(std::string_view RequestId,
+                                               query_outcome Outcome,
+                                               const forwarding_names &Names) {
+  return std::visit(
+      [&](auto O) { return forwarded_renderer{RequestId, Names}(std::move(O)); },
+      std::move(Outcome));
+}
+
+http_request
+masticproxy::toForwardedAttempt(const send_attempt &Attempt,
+                                std::chrono::milliseconds Remaining,
+                                const forwarding_names &Names) {
+  const forwarded_request &From = *Attempt.Forwarded;
+  http_request Request;
+  Request.Method = From.Method;
+  Request.Target = From.Target;
+  Request.Headers = From.Headers;
+  Request.Headers.emplace_back(Names.TimeLeft,
+                               std::to_string(Remaining.count()));
+  if (!Attempt.Instance.empty())
+    Request.Headers.emplace_back(Names.ExpectedInstance, Attempt.Instance);
+  Request.Body = From.Body;
+  return Request;
+}
+
+std::variant<attempt_answered, attempt_failed, stray_response>
+masticproxy::fromForwardedResponse(const send_attempt &Attempt,
+                                   http_response Response,
+                                   const forwarding_names &Names) {
+  // An upstream that is not the expected one has not run the request.
+  bool NotRun = !findHeader(Response.Headers, Names.NotRun).empty() ||
+                Response.Status == StatusMisdirected;
+  if (NotRun)
+    return attempt_failed{Attempt.Attempt, attempt_failure::Refused};
+  std::string_view Id = findHeader(Response.Headers, Names.RequestId);
+  if (!Id.empty() && Id != Attempt.RequestId)
+    return stray_response{};
+  attempt_answered Answer;
+  Answer.Attempt = Attempt.Attempt;
+  upstream_result &Result = Answer.Result;
+  Result.Signature = findHeader(Response.Headers, Names.Signature);
+  bool Unsigned = Result.Signature.empty() && Response.Status < FirstRedirection;
+  if (Unsigned)
+    return attempt_failed{Attempt.Attempt, attempt_failure::Failed};
+  Result.RequestId = Attempt.RequestId;
+  Result.Snapshot = Attempt.Snapshot;
+  Result.Shard = Attempt.Shard;
+  Result.Status = Response.Status;
+  Result.Headers = endToEndHeaders(std::move(Response.Headers));
+  Result.Body = std::move(Response.Body);
+  return Answer;
+}
--- a/packages/daemon/masticproxy/src/Daemon/node_status.h
+++ b/packages/daemon/masticproxy/src/Daemon/node_status.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_DAEMON_NODE_STATUS_H
 
 #include "masticproxy/src/Cluster/member_info.h"
+#include "masticproxy/src/Discovery/caller_limits.h"
 
 #include <chrono>
 #include <cstdint>
@@ -38,6 +39,8 @@
   /// VMs that each upstream's connections are divided by.
   std::size_t Sharers = 1;
   std::vector<object_in_force> Objects;
+  /// What the configuration in force lets callers send.
+  caller_limits CallerLimits = {};
 };
 
 /// \returns \p Status as one JSON object.
--- a/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
@@ -80,6 +80,15 @@
                          RequestId);
   }
 
+  http_response operator()(const unknown_route &) const {
+    return errorResponse(StatusNotFound, "unknown_route",
+                         "no such route is in force; the request was not run",
+                         RequestId);
+  }
+
+  // Nobody reads it.
+  http_response operator()(const caller_gone &) const { return {}; }
+
   http_response operator()(const condemned &Outcome) const {
     return jsonResponse(
         StatusUnprocessable,
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -1,6 +1,7 @@
 #include "masticproxy/src/Daemon/upstreams_thread.h"
 
 #include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/forwarding.h"
 #include "masticproxy/src/Daemon/upstream_check.h"
 #include "masticproxy/src/Daemon/upstream_protocol.h"
 
@@ -25,8 +26,11 @@
 
 upstreams_thread::upstreams_thread(const clock &Clock,
                                    counter_registry &Counters,
-                                   const published<connection_grant> &Grant)
+                                   const published<connection_grant> &Grant,
+                                   unsigned OwnConnections,
+                                   const forwarding_names &Names)
     : Clock(Clock), Counters(Counters), Grant(Grant),
+      OwnConnections(OwnConnections), Names(Names),
       ApplyTimer(Loop.context()), Commands(RequestRingCapacity, [this] {
         Loop.post([this] {
           Commands.drain([this](upstream_command C) {
@@ -60,9 +64,12 @@
     Counters.get("upstream_share_refusals_total").add();
     return report(attempt_failed{Attempt, attempt_failure::NotSent});
   }
-  Open.emplace(Attempt, open_attempt{Command.Upstream, Connection});
+  http_request Request = Command.Forwarded
+                             ? toForwardedAttempt(Command, Remaining, Names)
+                             : toUpstreamRequest(Command, Remaining);
+  Open.emplace(Attempt, open_attempt{Command, Connection});
   Connection->exchange(
-      toUpstreamRequest(Command, Remaining), Remaining + DeadlineGrace,
+      std::move(Request), Remaining + DeadlineGrace,
       [this, Attempt](exchange_result R) { finish(Attempt, std::move(R)); });
 }
 
@@ -70,9 +77,12 @@
   auto Found = Open.find(Command.Attempt);
   if (Found == Open.end())
     return;
+  // Upstreams drop a forwarded request whose connection closes.
+  if (Found->second.Command.Forwarded)
+    return Found->second.Connection->close();
   // Only a spare connection carries a cancellation: a new one would go above
   // this VM's share, and the attempt's deadline ends it anyhow.
-  std::string Upstream = Found->second.Upstream;
+  std::string Upstream = Found->second.Command.Upstream;
   if (Connections[Upstream].Idle.empty())
     return;
   connection Connection = takeConnection(Upstream);
@@ -90,10 +100,12 @@
     return;
   open_attempt Ended = std::move(Found->second);
   Open.erase(Found);
-  giveBack(Ended.Upstream, std::move(Ended.Connection));
-  if (auto *Response = std::get_if<http_response>(&Result))
-    return std::visit([this](auto E) { report(std::move(E)); },
-                      fromUpstreamResponse(Attempt, std::move(*Response)));
+  if (auto *Response = std::get_if<http_response>(&Result)) {
+    upstream_event Event = read(Ended, std::move(*Response));
+    giveBack(Ended.Command.Upstream, std::move(Ended.Connection));
+    return report(Event);
+  }
+  giveBack(Ended.Command.Upstream, std::move(Ended.Connection));
   const auto &Error = std::get<exchange_error>(Result);
   Counters.get("upstream_connection_errors_total").add();
   if (!Error.MayHaveRun)
@@ -102,11 +114,28 @@
     return report(attempt_failed{Attempt, attempt_failure::Unknown});
   // An upstream at its limit of connections closes them too; one that died
   // takes no connection.
-  checkUpstream(Loop.context(), Ended.Upstream, [this, Attempt](bool Alive) {
+  checkUpstream(Loop.context(), Ended.Command.Upstream, [this, Attempt](bool Alive) {
     report(attempt_failed{Attempt, attempt_failure::Unknown, !Alive});
   });
 }
 
+upstream_event upstreams_thread::read(const open_attempt &Ended,
+                                      http_response Response) {
+  attempt_id Attempt = Ended.Command.Attempt;
+  if (!Ended.Command.Forwarded)
+    return std::visit([](auto E) { return upstream_event(std::move(E)); },
+                      fromUpstreamResponse(Attempt, std::move(Response)));
+  auto Read = fromForwardedResponse(Ended.Command, std::move(Response), Names);
+  if (auto *Answered = std::get_if<attempt_answered>(&Read))
+    return std::move(*Answered);
+  if (auto *Failed = std::get_if<attempt_failed>(&Read))
+    return *Failed;
+  // What else comes over the connection can't be told apart.
+  Counters.get("upstream_stray_responses_total").add();
+  Ended.Connection->close();
+  return attempt_failed{Attempt, attempt_failure::Unknown};
+}
+
 void upstreams_thread::report(const upstream_event &Event) {
   // The engine never waits for this thread, so its ring drains.
   while (!Engine->push(Event))
@@ -140,9 +169,13 @@
 }
 
 unsigned upstreams_thread::places(const std::string &Upstream) const {
-  std::shared_ptr<const connection_grant> Newest = Grant.get();
   auto Found = Connections.find(Upstream);
-  if (!Newest || Found == Connections.end())
+  if (Found == Connections.end())
+    return 0;
+  if (OwnConnections > 0)
+    return std::min(OwnConnections, Found->second.Limit);
+  std::shared_ptr<const connection_grant> Newest = Grant.get();
+  if (!Newest)
     return 0;
   return Newest->places(Upstream, Found->second.Limit, Clock.now());
 }
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
@@ -20,6 +20,7 @@
 namespace masticproxy {
 
 class counter_registry;
+struct forwarding_names;
 
 /// \brief Carries attempts to upstreams over kept-alive HTTP connections.
 ///
@@ -27,8 +28,11 @@
 /// for, and those above a share that shrank are closed.
 class upstreams_thread {
 public:
+  /// \p OwnConnections bounds the connections to one upstream; 0: the grant
+  /// does. Forwarded requests carry header fields of these \p Names.
   upstreams_thread(const clock &Clock, counter_registry &Counters,
-                   const published<connection_grant> &Grant);
+                   const published<connection_grant> &Grant,
+                   unsigned OwnConnections, const forwarding_names &Names);
 
   /// Sets the ring that results go to; before start().
   void connect(upstream_event_ring &NewEngine) { Engine = &NewEngine; }
@@ -54,13 +58,15 @@
   };
 
   struct open_attempt {
-    std::string Upstream;
+    send_attempt Command;
     connection Connection;
   };
 
   void carryOut(const send_attempt &Command);
   void carryOut(const cancel_attempt &Command);
   void finish(attempt_id Attempt, exchange_result Result);
+  /// Says what \p Response to \p Ended means.
+  upstream_event read(const open_attempt &Ended, http_response Response);
   void report(const upstream_event &Event);
   connection takeConnection(const std::string &Upstream);
   void giveBack(const std::string &Upstream, connection Connection);
@@ -72,6 +78,8 @@
   const clock &Clock;
   counter_registry &Counters;
   const published<connection_grant> &Grant;
+  unsigned OwnConnections;
+  const forwarding_names &Names;
   loop_thread Loop;
   boost::asio::steady_timer ApplyTimer;
   std::atomic<std::uint64_t> AppliedGrant{0};
--- a/packages/net/masticproxy/src/Net/http_connection.cpp
+++ b/packages/net/masticproxy/src/Net/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Net/http_convert.h"
 #include "masticproxy/src/Net/tcp_address.h"
+#include "masticproxy/src/Net/tcp_options.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -9,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <optional>
 
 using namespace masticproxy;
@@ -19,6 +21,10 @@
 
 constexpr std::size_t MaxResponseBytes = 16U << 20U;
 
+/// Longest wait for a new connection: many round trips between data centres,
+/// and less than it takes for a lost opening packet to be sent again.
+constexpr std::chrono::milliseconds ConnectTimeout{300};
+
 } // namespace
 
 /// Shared with handlers, which may outlive the connection object.
@@ -28,18 +34,21 @@
 
   void start(http_request NewRequest, std::chrono::milliseconds Timeout) {
     Request = internal::toBeast(std::move(NewRequest));
-    Stream.expires_after(Timeout);
-    if (usable())
+    Deadline = std::chrono::steady_clock::now() + Timeout;
+    if (usable()) {
+      Stream.expires_at(Deadline);
       return write();
+    }
     Stream.close();
     Buffer.clear();
+    Stream.expires_after(std::min(Timeout, ConnectTimeout));
     Stream.async_connect(Endpoint, [Self = shared_from_this()](
                                        const boost::system::error_code &E) {
       if (E)
         return Self->fail(/*MayHaveRun=*/false, E);
       Self->Open = true;
-      boost::system::error_code Ignored;
-      Self->Stream.socket().set_option(tcp::no_delay(true), Ignored);
+      internal::setTcpOptions(Self->Stream.socket());
+      Self->Stream.expires_at(Self->Deadline);
       Self->write();
     });
   }
@@ -57,6 +66,8 @@
   void read() {
     Parser.emplace();
     Parser->body_limit(MaxResponseBytes);
+    // The response to HEAD states a length and has no body.
+    Parser->skip(Request.method() == http::verb::head);
     http::async_read(Stream, Buffer, *Parser,
                      [Self = shared_from_this()](
                          const boost::system::error_code &E, std::size_t) {
@@ -68,7 +79,8 @@
 
   void succeed() {
     http_response Response = internal::fromBeast(Parser->release());
-    if (Response.Close)
+    // What follows a response before the next request belongs to none.
+    if (Response.Close || Buffer.size() > 0)
       close();
     else
       Stream.expires_never();
@@ -114,6 +126,7 @@
   internal::beast_request Request;
   std::optional<http::response_parser<http::string_body>> Parser;
   std::function<void(exchange_result)> Done;
+  std::chrono::steady_clock::time_point Deadline;
   bool Open = false;
 };
 
--- a/packages/net/masticproxy/src/Net/http_convert.cpp
+++ b/packages/net/masticproxy/src/Net/http_convert.cpp
@@ -12,19 +12,25 @@
 } // namespace
 
 internal::beast_request internal::toBeast(http_request From) {
-  beast_request To(http::string_to_verb(From.Method), From.Target, HttpVersion);
-  To.set(http::field::host, "masticproxy");
+  beast_request To;
+  To.version(HttpVersion);
+  To.method_string(From.Method);
+  To.target(From.Target);
+  if (findHeader(From.Headers, "host").empty())
+    To.set(http::field::host, "masticproxy");
   for (const auto &[Name, Value] : From.Headers)
-    To.set(Name, Value);
+    To.insert(Name, Value);
   To.body() = std::move(From.Body);
   To.prepare_payload();
   return To;
 }
 
 internal::beast_response internal::toBeast(http_response From, bool KeepAlive) {
-  beast_response To(http::int_to_status(From.Status), HttpVersion);
+  beast_response To;
+  To.version(HttpVersion);
+  To.result(From.Status);
   for (const auto &[Name, Value] : From.Headers)
-    To.set(Name, Value);
+    To.insert(Name, Value);
   To.keep_alive(KeepAlive && !From.Close);
   To.body() = std::move(From.Body);
   To.prepare_payload();
--- a/packages/net/masticproxy/src/Net/http_message.h
+++ b/packages/net/masticproxy/src/Net/http_message.h
@@ -1,6 +1,9 @@
 #ifndef MASTICPROXY_NET_HTTP_MESSAGE_H
 #define MASTICPROXY_NET_HTTP_MESSAGE_H
 
+#include "masticproxy/src/Query/forwarded_request.h"
+
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -9,7 +12,7 @@
 namespace masticproxy {
 
 /// Header fields in order; names are lower case.
-using http_headers = std::vector<std::pair<std::string, std::string>>;
+using http_headers = header_list;
 
 /// \returns the first value of the field \p Name (lower case), or "".
 std::string_view findHeader(const http_headers &Headers, std::string_view Name);
@@ -21,6 +24,8 @@
   std::string Target = "/";
   http_headers Headers;
   std::string Body;
+  /// Number of the request within its server; 0 for requests sent.
+  std::uint64_t Serial = 0;
 };
 
 /// \brief An HTTP response.
--- a/packages/net/masticproxy/src/Net/http_platform.cpp
+++ b/packages/net/masticproxy/src/Net/http_platform.cpp
@@ -1,6 +1,5 @@
 #include "masticproxy/src/Net/http_platform.h"
 
-#include "masticproxy/src/Net/http_call.h"
 #include "masticproxy/src/Net/http_status.h"
 
 #include <nlohmann/json.hpp>
@@ -41,12 +40,11 @@
 http_platform::http_platform(std::string Address,
                              std::chrono::milliseconds CallTimeout,
                              std::stop_token Stop)
-    : Address(std::move(Address)), CallTimeout(CallTimeout),
-      Stop(std::move(Stop)) {}
+    : Caller(std::move(Address), CallTimeout, std::move(Stop)) {}
 
 platform_read_result http_platform::get(std::string_view Kind,
                                         std::string_view Name) {
-  auto Answer = call("GET", objectTarget(Kind, Name), {}, CallTimeout);
+  auto Answer = call("GET", objectTarget(Kind, Name));
   if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
     return *Failure;
   const auto &Response = std::get<http_response>(Answer);
@@ -72,18 +70,19 @@
 }
 
 platform_changes_result http_platform::list(std::string_view Kind) {
-  return changes("/v1/objects/" + percentEncoded(Kind), CallTimeout);
+  return changes("/v1/objects/" + percentEncoded(Kind),
+                 std::chrono::milliseconds(0));
 }
 
 platform_changes_result http_platform::watch(std::uint64_t After,
                                              std::chrono::milliseconds Wait) {
   std::string Target = "/v1/watch?after=" + std::to_string(After) +
                        "&wait_ms=" + std::to_string(Wait.count());
-  return changes(std::move(Target), Wait + CallTimeout);
+  return changes(std::move(Target), Wait);
 }
 
 platform_vms_result http_platform::listVms() {
-  auto Answer = call("GET", "/v1/vms", {}, CallTimeout);
+  auto Answer = call("GET", "/v1/vms");
   if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
     return *Failure;
   const auto &Response = std::get<http_response>(Answer);
@@ -105,15 +104,12 @@
 
 std::variant<http_response, platform_unavailable>
 http_platform::call(std::string_view Method, std::string Target,
-                    std::string_view Body, std::chrono::milliseconds Timeout) {
+                    std::string_view Body, std::chrono::milliseconds Wait) {
   http_request Request;
   Request.Method = std::string(Method);
   Request.Target = std::move(Target);
   Request.Body = std::string(Body);
-  exchange_result Result = httpCall(Address, std::move(Request), Timeout, Stop);
-  if (auto *Failure = std::get_if<exchange_error>(&Result))
-    return platform_unavailable{Failure->Text};
-  return std::get<http_response>(std::move(Result));
+  return Caller.call(std::move(Request), Wait);
 }
 
 platform_write_result http_platform::write(std::string_view Method,
@@ -123,7 +119,7 @@
                                            std::string_view Value) {
   std::string Target =
       objectTarget(Kind, Name) + "?if_version=" + std::to_string(IfVersion);
-  auto Answer = call(Method, std::move(Target), Value, CallTimeout);
+  auto Answer = call(Method, std::move(Target), Value);
   if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
     return *Failure;
   const auto &Response = std::get<http_response>(Answer);
@@ -141,8 +137,8 @@
 }
 
 platform_changes_result
-http_platform::changes(std::string Target, std::chrono::milliseconds Timeout) {
-  auto Answer = call("GET", std::move(Target), {}, Timeout);
+http_platform::changes(std::string Target, std::chrono::milliseconds Wait) {
+  auto Answer = call("GET", std::move(Target), {}, Wait);
   if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
     return *Failure;
   const auto &Response = std::get<http_response>(Answer);
--- a/packages/net/masticproxy/src/Net/http_platform.h
+++ b/packages/net/masticproxy/src/Net/http_platform.h
@@ -3,6 +3,7 @@
 
 #include "masticproxy/src/Net/http_message.h"
 #include "masticproxy/src/Net/platform_api.h"
+#include "masticproxy/src/Net/platform_caller.h"
 
 #include <stop_token>
 
@@ -30,17 +31,15 @@
 
 private:
   std::variant<http_response, platform_unavailable>
-  call(std::string_view Method, std::string Target, std::string_view Body,
-       std::chrono::milliseconds Timeout);
+  call(std::string_view Method, std::string Target, std::string_view Body = {},
+       std::chrono::milliseconds Wait = std::chrono::milliseconds(0));
   platform_write_result write(std::string_view Method, std::string_view Kind,
                               std::string_view Name, std::uint64_t IfVersion,
                               std::string_view Value);
   platform_changes_result changes(std::string Target,
-                                  std::chrono::milliseconds Timeout);
+                                  std::chrono::milliseconds Wait);
 
-  std::string Address;
-  std::chrono::milliseconds CallTimeout;
-  std::stop_token Stop;
+  platform_caller Caller;
 };
 
 } // namespace masticproxy
--- a/packages/net/masticproxy/src/Net/http_server.cpp
+++ b/packages/net/masticproxy/src/Net/http_server.cpp
@@ -13,7 +13,10 @@
 struct http_server::state : std::enable_shared_from_this<state> {
   state(boost::asio::io_context &Context, http_server_limits Limits,
         handler Handler)
-      : Acceptor(Context), Limits(Limits), Handler(std::move(Handler)) {}
+      : Acceptor(Context), Rules(std::make_shared<internal::session_rules>()) {
+    Rules->Limits = Limits;
+    Rules->Handler = std::move(Handler);
+  }
 
   void accept() {
     Acceptor.async_accept(
@@ -28,10 +31,10 @@
   }
 
   void add(tcp::socket Socket) {
-    if (count() >= Limits.Connections)
+    if (count() >= Rules->Limits.Connections)
       return;
-    auto Session = std::make_shared<internal::http_session>(std::move(Socket),
-                                                            Limits, Handler);
+    auto Session =
+        std::make_shared<internal::http_session>(std::move(Socket), Rules);
     Sessions.push_back(Session);
     if (EndAfterResponse)
       Session->endAfterResponse();
@@ -51,8 +54,7 @@
 
   tcp::acceptor Acceptor;
   bool EndAfterResponse = false;
-  http_server_limits Limits;
-  handler Handler;
+  std::shared_ptr<internal::session_rules> Rules;
   std::list<std::weak_ptr<internal::http_session>> Sessions;
 };
 
@@ -75,6 +77,18 @@
 
 http_server::~http_server() { closeAll(); }
 
+void http_server::onCallerGone(std::function<void(std::uint64_t)> Gone) {
+  State->Rules->CallerGone = std::move(Gone);
+}
+
+void http_server::setIdleTimeout(std::chrono::milliseconds Timeout) {
+  State->Rules->Limits.IdleTimeout = Timeout;
+}
+
+void http_server::setBodyBytes(std::size_t Bytes) {
+  State->Rules->Limits.BodyBytes = Bytes;
+}
+
 void http_server::endConnectionsAfterResponse() {
   State->EndAfterResponse = true;
   State->each([](internal::http_session &S) { S.endAfterResponse(); });
@@ -93,7 +107,7 @@
 }
 
 void http_server::setSetupDelay(std::chrono::milliseconds Delay) {
-  State->Limits.SetupDelay = Delay;
+  State->Rules->Limits.SetupDelay = Delay;
 }
 
 std::uint16_t http_server::port() const {
--- a/packages/net/masticproxy/src/Net/http_server.h
+++ b/packages/net/masticproxy/src/Net/http_server.h
@@ -45,6 +45,16 @@
   http_server(const http_server &) = delete;
   http_server &operator=(const http_server &) = delete;
 
+  /// Sets what is called when a caller closes its connection before it has the
+  /// response to the request with that serial number.
+  void onCallerGone(std::function<void(std::uint64_t)> Gone);
+
+  /// Sets the silence after which a connection is closed.
+  void setIdleTimeout(std::chrono::milliseconds Timeout);
+
+  /// Sets the longest body of a request, in bytes.
+  void setBodyBytes(std::size_t Bytes);
+
   /// Goes on serving, and ends each connection after its next response.
   void endConnectionsAfterResponse();
 
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -1,5 +1,7 @@
 #include "masticproxy/src/Net/http_session.h"
 
+#include "masticproxy/src/Net/tcp_options.h"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -18,20 +20,18 @@
 } // namespace
 
 http_session::http_session(boost::asio::ip::tcp::socket Socket,
-                           const http_server_limits &Limits,
-                           http_server::handler Handler)
-    : Stream(std::move(Socket)), Limits(Limits), Handler(std::move(Handler)),
+                           std::shared_ptr<session_rules> Rules)
+    : Stream(std::move(Socket)), Rules(std::move(Rules)),
       SetupTimer(Stream.get_executor()) {
-  boost::system::error_code Ignored;
-  Stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+  setTcpOptions(Stream.socket());
 }
 
 http_session::~http_session() = default;
 
 void http_session::start() {
-  if (Limits.SetupDelay.count() == 0)
+  if (Rules->Limits.SetupDelay.count() == 0)
     return read();
-  SetupTimer.expires_after(Limits.SetupDelay);
+  SetupTimer.expires_after(Rules->Limits.SetupDelay);
   SetupTimer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Error) {
         if (!Error)
@@ -54,8 +54,8 @@
 
 void http_session::read() {
   Parser.emplace();
-  setLimits(*Parser, Limits.BodyBytes);
-  Stream.expires_after(Limits.IdleTimeout);
+  setLimits(*Parser, Rules->Limits.BodyBytes);
+  Stream.expires_after(Rules->Limits.IdleTimeout);
   http::async_read(
       Stream, Buffer, *Parser,
       [Self = shared_from_this()](const boost::system::error_code &Error,
@@ -71,17 +71,47 @@
     return close();
   Busy = true;
   Stream.expires_never();
-  Handler(fromBeast(Parser->release()),
+  // Taken before the request is moved out.
+  KeepAlive = Parser->keep_alive();
+  http_request Request = fromBeast(Parser->release());
+  Serial = Request.Serial = ++Rules->LastSerial;
+  if (Rules->CallerGone)
+    watchCaller();
+  Rules->Handler(std::move(Request),
           [Self = shared_from_this()](http_response Response) {
             Self->respond(std::move(Response));
           });
 }
 
+void http_session::watchCaller() {
+  if (std::exchange(Watching, true))
+    return;
+  Stream.socket().async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      [Self = shared_from_this()](const boost::system::error_code &Error) {
+        Self->Watching = false;
+        if (Error || !Self->Busy || !Self->callerLeft())
+          return;
+        Self->Rules->CallerGone(Self->Serial);
+        Self->close();
+      });
+}
+
+bool http_session::callerLeft() {
+  char Byte = 0;
+  boost::system::error_code Error;
+  Stream.socket().non_blocking(true, Error);
+  Stream.socket().receive(boost::asio::buffer(&Byte, 1),
+                          boost::asio::ip::tcp::socket::message_peek, Error);
+  // A further request may be waiting to be read.
+  return Error && Error != boost::asio::error::would_block;
+}
+
 void http_session::respond(http_response Response) {
   // The parser knows of no keep-alive before it has read a whole header.
-  bool KeepAlive = !Closing && !Rejected && Parser->keep_alive();
-  Out = toBeast(std::move(Response), KeepAlive);
-  Stream.expires_after(Limits.IdleTimeout);
+  bool Keep = !Closing && !Rejected && KeepAlive;
+  Out = toBeast(std::move(Response), Keep);
+  Stream.expires_after(Rules->Limits.IdleTimeout);
   http::async_write(Stream, *Out,
                     [Self = shared_from_this()](
                         const boost::system::error_code &Error, std::size_t) {
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -3,7 +3,7 @@
 
 #include "masticproxy/src/Net/http_convert.h"
 #include "masticproxy/src/Net/http_request_parser.h"
-#include "masticproxy/src/Net/http_server.h"
+#include "masticproxy/src/Net/session_rules.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -18,7 +18,7 @@
 class http_session : public std::enable_shared_from_this<http_session> {
 public:
   http_session(boost::asio::ip::tcp::socket Socket,
-               const http_server_limits &Limits, http_server::handler Handler);
+               std::shared_ptr<session_rules> Rules);
   ~http_session();
 
   /// Starts to read requests, after the limits' set-up delay.
@@ -36,20 +36,27 @@
 private:
   void read();
   void onRead(const boost::system::error_code &Error);
+  /// Finds out when the caller leaves before it has its response.
+  void watchCaller();
+  bool callerLeft();
   void respond(http_response Response);
   void readOutRejected();
   void discard(std::size_t Already);
 
   boost::beast::tcp_stream Stream;
-  http_server_limits Limits;
-  http_server::handler Handler;
+  std::shared_ptr<session_rules> Rules;
   boost::beast::flat_buffer Buffer;
   std::optional<http_request_parser> Parser;
   std::optional<beast_response> Out;
   boost::asio::steady_timer SetupTimer;
   bool Busy = false;
   bool Closing = false;
+  /// The request under way lets its connection be kept.
+  bool KeepAlive = false;
   bool Rejected = false;
+  /// A wait of watchCaller() is under way.
+  bool Watching = false;
+  std::uint64_t Serial = 0;
 };
 
 } // namespace masticproxy::internal
--- a/packages/net/masticproxy/src/Net/http_status.h
+++ b/packages/net/masticproxy/src/Net/http_status.h
@@ -10,6 +10,7 @@
 inline constexpr unsigned StatusMethodNotAllowed = 405;
 inline constexpr unsigned StatusConflict = 409;
 inline constexpr unsigned StatusGone = 410;
+inline constexpr unsigned StatusMisdirected = 421;
 inline constexpr unsigned StatusUnprocessable = 422;
 inline constexpr unsigned StatusBadGateway = 502;
 inline constexpr unsigned StatusUnavailable = 503;
--- /dev/null
+++ b/packages/net/masticproxy/src/Net/object_feed.cpp
@@ -0,0 +1,61 @@
+#include "masticproxy/src/Net/object_feed.h"
+
+#include "masticproxy/src/Net/platform_caller.h"
+
+#include <algorithm>
+#include <iterator>
+
+using namespace masticproxy;
+
+feed_result object_feed::next(std::chrono::milliseconds Wait) {
+  return Revision ? watch(Wait) : list();
+}
+
+feed_result object_feed::list() {
+  std::vector<platform_object> Objects;
+  std::optional<std::uint64_t> Oldest;
+  std::string Continue;
+  do {
+    auto Answer = Platform.call(Codec.listRequest(Continue));
+    if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
+      return *Failure;
+    auto Read = Codec.readPage(std::get<http_response>(Answer));
+    if (auto *Failure = std::get_if<platform_unavailable>(&Read))
+      return *Failure;
+    auto &Page = std::get<object_page>(Read);
+    // What changes while later pages are read comes again with the watch.
+    Oldest = std::min(Oldest.value_or(Page.Revision), Page.Revision);
+    std::move(Page.Objects.begin(), Page.Objects.end(),
+              std::back_inserter(Objects));
+    Continue = std::move(Page.Continue);
+  } while (!Continue.empty());
+  feed_news News;
+  News.Events = Codec.readList(Objects, News.Problems);
+  News.Revision = *Oldest;
+  News.Listed = true;
+  Revision = Oldest;
+  return News;
+}
+
+feed_result object_feed::watch(std::chrono::milliseconds Wait) {
+  auto Answer = Platform.call(Codec.watchRequest(*Revision, Wait), Wait);
+  if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
+    return *Failure;
+  auto Read = Codec.readChanges(std::get<http_response>(Answer));
+  if (auto *Failure = std::get_if<platform_unavailable>(&Read))
+    return *Failure;
+  if (std::holds_alternative<history_gone>(Read)) {
+    Revision.reset();
+    return list();
+  }
+  const auto &Changes = std::get<platform_changes>(Read);
+  feed_news News;
+  for (const platform_object &Object : Changes.Objects) {
+    std::vector<discovery_event> Events =
+        Codec.readChange(Object, News.Problems);
+    std::move(Events.begin(), Events.end(), std::back_inserter(News.Events));
+  }
+  Revision = std::max(*Revision, Changes.Revision);
+  News.Revision = *Revision;
+  return News;
+}
--- /dev/null
+++ b/packages/net/masticproxy/src/Net/object_feed.h
@@ -0,0 +1,52 @@
+#ifndef MASTICPROXY_NET_OBJECT_FEED_H
+#define MASTICPROXY_NET_OBJECT_FEED_H
+
+#include "masticproxy/src/Net/object_codec.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace masticproxy {
+
+class platform_caller;
+
+/// \brief What one step of an object_feed brought.
+struct feed_news {
+  std::vector<discovery_event> Events;
+  /// Objects that could not be read, with the reason.
+  std::vector<std::string> Problems;
+  /// Revision of the platform up to which all is known.
+  std::uint64_t Revision = 0;
+  /// The news stem from a complete list.
+  bool Listed = false;
+};
+
+using feed_result = std::variant<feed_news, platform_unavailable>;
+
+/// \brief Follows one kind of a platform's objects: a list at first and where
+/// the history is gone, then one watch after the other.
+class object_feed {
+public:
+  object_feed(const platform_caller &Platform, const object_codec &Codec)
+      : Platform(Platform), Codec(Codec) {}
+
+  /// Waits up to \p Wait for news. \returns them, or why there are none.
+  feed_result next(std::chrono::milliseconds Wait);
+
+private:
+  feed_result list();
+  feed_result watch(std::chrono::milliseconds Wait);
+
+  const platform_caller &Platform;
+  const object_codec &Codec;
+  /// Nothing until a list was read.
+  std::optional<std::uint64_t> Revision;
+};
+
+} // namespace masticproxy
+
+#endif
