--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -67,6 +67,10 @@
   S.UpstreamConnections =
       static_cast<unsigned>(Values.integer("upstreams.connections"));
   S.HedgeQuantile = Values.number("query.hedge_quantile");
+  S.HedgeFactor = Values.number("query.hedge_factor");
+  S.SuspectSlow = Values.flag("query.suspect_slow");
+  S.RemoteCost = Values.number("query.remote_cost");
+  S.HedgePart = Values.number("query.hedge_part");
   S.ExtraLoad = Values.number("query.extra_load");
   S.ExtraLoadSaved = Values.number("query.extra_load_saved");
   S.AnswerMargin = Values.span("query.answer_margin");
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -34,6 +34,10 @@
   /// 0: this VM's share.
   unsigned UpstreamConnections;
   double HedgeQuantile;
+  double HedgeFactor;
+  bool SuspectSlow;
+  double RemoteCost;
+  double HedgePart;
   double ExtraLoad;
   double ExtraLoadSaved;
   std::chrono::milliseconds AnswerMargin;
--- a/packages/core/masticproxy/src/Query/profile.h
+++ b/packages/core/masticproxy/src/Query/profile.h
@@ -17,6 +17,8 @@
   double Coverage = 1.0;
   /// Whether a request is idempotent, so that it may run more than once.
   bool MayRepeat = false;
+  /// The platform's version of it; 0 where it came from no platform.
+  std::uint64_t Version = 0;
   /// Time after which an answer of the least coverage is given instead of
   /// waiting for more; 0: only Wait counts.
   std::chrono::milliseconds TargetLatency{0};
@@ -24,8 +26,6 @@
   unsigned Attempts = 0;
   /// Rank among the profiles; 0 is the most urgent.
   unsigned Priority = 0;
-  /// The platform's version of it; 0 where it came from no platform.
-  std::uint64_t Version = 0;
 };
 
 } // namespace masticproxy
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -55,6 +55,7 @@
       Poison(Clock, this->Limits.ProbeFirst), Indexes(this->Limits.Seed) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
   Upstreams.speakToAll(this->Limits.AllDataCentres);
+  Upstreams.suspectSlow(this->Limits.SuspectSlow);
   Upstreams.setOwnConnections(this->Limits.UpstreamConnections);
 }
 
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -45,6 +45,8 @@
   bool ProbeFirst = false;
   /// Whether upstreams of other data centres are spoken to directly.
   bool AllDataCentres = false;
+  /// Whether an upstream that keeps attempts waiting is avoided for a while.
+  bool SuspectSlow = false;
   /// Connections that this VM holds to one upstream; 0: its share of them.
   unsigned UpstreamConnections = 0;
   /// Time kept back from a profile's target latency for the answer's way to
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -96,7 +96,12 @@
 }
 
 void upstream_table::abandoned(const attempt_facts &Attempt, time_point Now) {
-  stateOf(Attempt.Upstream, Now).Health.abandoned(Attempt.Age, Now);
+  upstream_health &Health = stateOf(Attempt.Upstream, Now).Health;
+  Health.abandoned(Attempt.Age, Now);
+  std::optional<duration> Delay = hedgeDelay(Attempt.Index);
+  bool Slow = SuspectSlow && Delay && Attempt.Age >= *Delay;
+  if (Slow)
+    Health.slow(Now);
   observe(Attempt);
 }
 
@@ -128,7 +133,7 @@
     AnyTold = AnyTold || ToldDraining;
     Set.push_back({&Replica, &State.Health, State.InFlight,
                    placesAt(Replica, Now), slotShare(Replica, Now),
-                   ToldDraining, WasTried});
+                   ToldDraining, WasTried, Replica.DataCentre != DataCentre});
   }
   if (AnyTold && !servesBy(Replicas, Now))
     askAlone(Set);
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -38,6 +38,9 @@
   /// Lets the upstreams of all data centres be chosen, with \p Direct.
   void speakToAll(bool Direct) { AllDataCentres = Direct; }
 
+  /// Lets an upstream that keeps attempts waiting be avoided for a while.
+  void suspectSlow(bool Suspect) { SuspectSlow = Suspect; }
+
   /// Sets how many connections this VM may hold to each upstream, whatever its
   /// share of them; 0: no such bound.
   void setOwnConnections(unsigned Most) { OwnConnections = Most; }
@@ -138,6 +141,7 @@
   drain_hearsay Hearsay;
   std::string DataCentre;
   bool AllDataCentres = false;
+  bool SuspectSlow = false;
   unsigned OwnConnections = 0;
   std::shared_ptr<const connection_grant> Grant;
   std::map<std::string, upstream_state, std::less<>> States;
--- a/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
@@ -109,8 +109,11 @@
     return;
   State.SinceUpdate = 0;
   State.HedgeDelay = State.Latencies.quantile(Tuning.HedgeQuantile);
-  if (State.HedgeDelay)
-    State.HedgeDelay = std::max<duration>(*State.HedgeDelay, LeastHedgeDelay);
+  if (!State.HedgeDelay)
+    return;
+  auto Delay =
+      std::chrono::duration_cast<duration>(*State.HedgeDelay * Tuning.HedgeFactor);
+  State.HedgeDelay = std::max<duration>(Delay, LeastHedgeDelay);
 }
 
 bool adaptive_policy::hasRetry(std::string_view Name) const {
@@ -137,7 +140,7 @@
   const replica *Chosen = nullptr;
   unsigned Equals = 0;
   for (const candidate &One : Open) {
-    double Cost = cost(One, Best, Now);
+    double Cost = cost(One, Best, Now) * (One.Remote ? Tuning.RemoteCost : 1);
     if (Cost > Least)
       continue;
     Equals = Cost < Least ? 1 : Equals + 1;
--- a/packages/core/masticproxy/src/Routing/candidate.h
+++ b/packages/core/masticproxy/src/Routing/candidate.h
@@ -21,6 +21,8 @@
   bool ToldDraining = false;
   /// Whether this request has tried it.
   bool Tried = false;
+  /// Whether it stands in another data centre.
+  bool Remote = false;
 
   /// \returns whether this request may go there at all.
   bool isOpen(time_point Now) const {
--- a/packages/core/masticproxy/src/Routing/policy_tuning.h
+++ b/packages/core/masticproxy/src/Routing/policy_tuning.h
@@ -9,6 +9,10 @@
 struct policy_tuning {
   /// Share of attempts that are expected to end before they are hedged.
   double HedgeQuantile = 0.97;
+  /// Multiple of that quantile after which an attempt is hedged.
+  double HedgeFactor = 1.0;
+  /// Cost of an upstream of another data centre relative to one of the own.
+  double RemoteCost = 1.0;
   /// Bounds of the budget that each shard of forwarded requests has.
   load_budget_limits PerShard = {};
 };
--- a/packages/core/masticproxy/src/Routing/upstream_health.cpp
+++ b/packages/core/masticproxy/src/Routing/upstream_health.cpp
@@ -32,6 +32,9 @@
 /// Failures after which the suspicion does not grow longer.
 constexpr unsigned LongestSuspicionAt = 6;
 
+/// Slow attempts after which the suspicion of slowness does not grow longer.
+constexpr unsigned LongestSlownessAt = 4;
+
 /// Time from a start or return to the usual work.
 constexpr std::chrono::duration<double> RampTime{5.0};
 
@@ -77,6 +80,14 @@
   RampStart = SuspectUntil;
 }
 
+void upstream_health::slow(time_point Now) {
+  if (isSuspect(Now))
+    return;
+  Failures = std::min(Failures + 1, LongestSlownessAt);
+  // It serves, so it gets its usual work again without a ramp.
+  SuspectUntil = Now + FirstSuspicion * (1U << (Failures - 1));
+}
+
 void upstream_health::draining(time_point Until) {
   DrainUntil = Until;
   RampStart = Until;
--- a/packages/core/masticproxy/src/Routing/upstream_health.h
+++ b/packages/core/masticproxy/src/Routing/upstream_health.h
@@ -26,6 +26,9 @@
   /// Notes that a connection failed.
   void failed(time_point Now);
 
+  /// Notes that an attempt was out for so long that another upstream was asked.
+  void slow(time_point Now);
+
   /// Notes that the upstream drains: it gets nothing until \p Until.
   void draining(time_point Until);
 
@@ -35,7 +38,7 @@
   /// \returns whether the upstream has said that it is leaving.
   bool isDraining(time_point Now) const { return Now < DrainUntil; }
 
-  /// \returns whether its connections have failed lately.
+  /// \returns whether its connections have failed lately, or it was slow.
   bool isSuspect(time_point Now) const { return Now < SuspectUntil; }
 
   /// \returns whether it refused so shortly ago that asking again is of no
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -37,6 +37,16 @@
   }
 };
 
+load_budget_limits shardBudget(const node_settings &Settings) {
+  load_budget_limits Budget;
+  Budget.OrdinaryShare = Settings.ExtraLoad * Settings.HedgePart;
+  Budget.FaultShare = Settings.ExtraLoad - Budget.OrdinaryShare;
+  // Each of both parts saves up half.
+  Budget.Initial = Settings.ExtraLoadSaved / 2;
+  Budget.Capacity = Settings.ExtraLoadSaved / 2;
+  return Budget;
+}
+
 engine_limits engineLimits(const node_settings &Settings) {
   engine_limits Limits;
   Limits.Queries = Settings.Queries;
@@ -48,11 +58,10 @@
   Limits.UpstreamConnections = Settings.UpstreamConnections;
   Limits.AnswerMargin = Settings.AnswerMargin;
   Limits.Tuning.HedgeQuantile = Settings.HedgeQuantile;
-  // Hedges may take half of it; failures may need all.
-  Limits.Tuning.PerShard.OrdinaryShare = Settings.ExtraLoad / 2;
-  Limits.Tuning.PerShard.FaultShare = Settings.ExtraLoad / 2;
-  Limits.Tuning.PerShard.Initial = Settings.ExtraLoadSaved / 2;
-  Limits.Tuning.PerShard.Capacity = Settings.ExtraLoadSaved / 2;
+  Limits.SuspectSlow = Settings.SuspectSlow;
+  Limits.Tuning.HedgeFactor = Settings.HedgeFactor;
+  Limits.Tuning.RemoteCost = Settings.RemoteCost;
+  Limits.Tuning.PerShard = shardBudget(Settings);
   return Limits;
 }
 
--- a/packages/net/masticproxy/src/Net/object_feed.cpp
+++ b/packages/net/masticproxy/src/Net/object_feed.cpp
@@ -55,7 +55,10 @@
         Codec.readChange(Object, News.Problems);
     std::move(Events.begin(), Events.end(), std::back_inserter(News.Events));
   }
-  Revision = std::max(*Revision, Changes.Revision);
+  // A platform that loses its history may answer a watch without the changes
+  // that its revision covers, so only news move on.
+  if (!Changes.Objects.empty())
+    Revision = std::max(*Revision, Changes.Revision);
   News.Revision = *Revision;
   return News;
 }
