Let upstreams in trouble cost more; fewer attempts at a time where they wait

A shard with one server left had 36 attempts open at 5 slots, so all of them waited past the target and none was answered in time. Change: an upstream's share of refused, failed and slow attempts raises its cost; a slow attempt cuts how many are open there, as a refusal does. Lines for requests that were not answered in full, and for their attempts.

--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -54,6 +54,8 @@
      "Whether an upstream that keeps attempts waiting is avoided for a while."},
     {"query.remote_cost", value_kind::Number, "1.0", 1, 100, "",
      "Cost of an upstream of another data centre relative to one of the own."},
+    {"query.trouble_cost", value_kind::Number, "0.0", 0, 1000, "",
+     "Further cost of an upstream at which every attempt fails or is slow."},
     {"query.hedge_part", value_kind::Number, "0.5", 0, 1, "",
      "Part of the extra load that hedges may take; failures may take all."},
     {"query.extra_load", value_kind::Number, "0.09", 0, 1, "",
--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -70,6 +70,7 @@
   S.HedgeFactor = Values.number("query.hedge_factor");
   S.SuspectSlow = Values.flag("query.suspect_slow");
   S.RemoteCost = Values.number("query.remote_cost");
+  S.TroubleCost = Values.number("query.trouble_cost");
   S.HedgePart = Values.number("query.hedge_part");
   S.ExtraLoad = Values.number("query.extra_load");
   S.ExtraLoadSaved = Values.number("query.extra_load_saved");
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -37,6 +37,7 @@
   double HedgeFactor;
   bool SuspectSlow;
   double RemoteCost;
+  double TroubleCost;
   double HedgePart;
   double ExtraLoad;
   double ExtraLoadSaved;
--- a/packages/core/masticproxy/src/Query/query_account.h
+++ b/packages/core/masticproxy/src/Query/query_account.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace masticproxy {
 
@@ -23,6 +24,8 @@
   std::size_t Shards = 0;
   /// Attempts sent for them: first ones, retries and hedges.
   std::size_t Attempts = 0;
+  /// Shards without a result, by their ids.
+  std::vector<std::string> Missing = {};
 };
 
 } // namespace masticproxy
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -456,6 +456,7 @@
   Account.Took = Clock.now() - (Run.deadline() - Run.rules().Wait);
   Account.Shards = Run.snapshot().Shards.size();
   Account.Attempts = Run.attempts();
+  Account.Missing = Run.missing();
   return Account;
 }
 
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -102,6 +102,14 @@
   SnapshotGone = false;
 }
 
+std::vector<std::string> query_run::missing() const {
+  std::vector<std::string> Ids;
+  for (std::size_t I = 0; I < Shards.size(); ++I)
+    if (!Partial.has(I))
+      Ids.push_back(Snapshot->Shards[I].Id);
+  return Ids;
+}
+
 bool query_run::complete() const {
   coverage Stated = Partial.stated();
   return Stated.Answered == Stated.Asked;
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -145,6 +145,9 @@
   /// \returns the attempts sent so far, those before a restart included.
   std::size_t attempts() const { return Attempts; }
 
+  /// \returns the ids of the shards without a result.
+  std::vector<std::string> missing() const;
+
   /// \returns whether every shard answered.
   bool complete() const;
 
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -96,12 +96,13 @@
 }
 
 void upstream_table::abandoned(const attempt_facts &Attempt, time_point Now) {
-  upstream_health &Health = stateOf(Attempt.Upstream, Now).Health;
+  upstream_state &State = stateOf(Attempt.Upstream, Now);
+  upstream_health &Health = State.Health;
   Health.abandoned(Attempt.Age, Now);
   std::optional<duration> Delay = hedgeDelay(Attempt.Index);
   bool Slow = SuspectSlow && Delay && Attempt.Age >= *Delay;
   if (Slow)
-    Health.slow(Now);
+    Health.slow(State.InFlight, Now);
   observe(Attempt);
 }
 
--- a/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
@@ -26,6 +26,10 @@
 /// Cost of a suspect relative to a replica without failures.
 constexpr double SuspectCost = 4.0;
 
+/// Share of attempts in trouble that sound upstreams have too, by short pauses;
+/// up to it they count as equals.
+constexpr double UsualTrouble = 0.1;
+
 duration bestLatency(std::span<const candidate> Open, time_point Now) {
   duration Best = duration::max();
   for (const candidate &One : Open) {
@@ -140,7 +144,7 @@
   const replica *Chosen = nullptr;
   unsigned Equals = 0;
   for (const candidate &One : Open) {
-    double Cost = cost(One, Best, Now) * (One.Remote ? Tuning.RemoteCost : 1);
+    double Cost = cost(One, Best, Now) * surcharge(One, Now);
     if (Cost > Least)
       continue;
     Equals = Cost < Least ? 1 : Equals + 1;
@@ -152,6 +156,12 @@
   return Chosen;
 }
 
+double adaptive_policy::surcharge(const candidate &One, time_point Now) const {
+  double Unusual = std::max(0.0, One.Health->trouble(Now) - UsualTrouble);
+  double Trouble = 1.0 + Tuning.TroubleCost * Unusual;
+  return One.Remote ? Trouble * Tuning.RemoteCost : Trouble;
+}
+
 bool adaptive_policy::passesRamp(const candidate &One, double Readiest,
                                  time_point Now) {
   // The readiest always passes, so that some replica is left.
--- a/packages/core/masticproxy/src/Routing/adaptive_policy.h
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.h
@@ -60,6 +60,8 @@
   };
 
   const replica *best(std::span<const candidate> Open, time_point Now);
+  /// \returns what an upstream costs beyond its load and latency.
+  double surcharge(const candidate &One, time_point Now) const;
   bool passesRamp(const candidate &One, double Readiest, time_point Now);
 
   load_budget &budget(std::string_view Name);
--- a/packages/core/masticproxy/src/Routing/policy_tuning.h
+++ b/packages/core/masticproxy/src/Routing/policy_tuning.h
@@ -13,6 +13,9 @@
   double HedgeFactor = 1.0;
   /// Cost of an upstream of another data centre relative to one of the own.
   double RemoteCost = 1.0;
+  /// Further cost of an upstream, in multiples of the usual one, at which every
+  /// attempt is refused, fails or has to be hedged.
+  double TroubleCost = 0.0;
   /// Bounds of the budget that each shard of forwarded requests has.
   load_budget_limits PerShard = {};
 };
--- a/packages/core/masticproxy/src/Routing/upstream_health.cpp
+++ b/packages/core/masticproxy/src/Routing/upstream_health.cpp
@@ -7,6 +7,13 @@
 
 namespace {
 
+/// Weight of a new attempt in the share of those in trouble.
+constexpr double TroubleWeight = 0.2;
+
+/// Time without attempts in which that share falls to half, so that an
+/// upstream is tried again.
+constexpr std::chrono::duration<double> TroubleHalfLife{2.0};
+
 /// Weight of a new latency in the mean.
 constexpr double LatencyWeight = 0.1;
 
@@ -49,6 +56,7 @@
 
 void upstream_health::answered(duration NewLatency, time_point Now) {
   addLatency(NewLatency, Now);
+  addTrouble(0, Now);
   Failures = 0;
   Concurrency += 1.0 / Concurrency;
 }
@@ -61,17 +69,23 @@
 }
 
 void upstream_health::refused(unsigned InFlight, time_point Now) {
+  addTrouble(1, Now);
   // Refusals that come together are one sign: they were sent before the first
   // of them was known.
   bool Known = isBackingOff(Now);
   RefusedAt = Now;
   if (Known)
     return;
+  cutConcurrency(InFlight);
+}
+
+void upstream_health::cutConcurrency(unsigned InFlight) {
   double Taken = std::min(Concurrency, static_cast<double>(InFlight));
   Concurrency = std::max(1.0, Taken * ConcurrencyCut);
 }
 
 void upstream_health::failed(time_point Now) {
+  addTrouble(1, Now);
   // Attempts that were open at the same time fail together: one event.
   if (isSuspect(Now))
     return;
@@ -80,9 +94,12 @@
   RampStart = SuspectUntil;
 }
 
-void upstream_health::slow(time_point Now) {
+void upstream_health::slow(unsigned InFlight, time_point Now) {
+  addTrouble(1, Now);
   if (isSuspect(Now))
     return;
+  // More at a time would only wait longer there.
+  cutConcurrency(InFlight);
   Failures = std::min(Failures + 1, LongestSlownessAt);
   // It serves, so it gets its usual work again without a ramp.
   SuspectUntil = Now + FirstSuspicion * (1U << (Failures - 1));
@@ -107,11 +124,22 @@
   return std::chrono::duration_cast<duration>(Latency * Factor);
 }
 
+double upstream_health::trouble(time_point Now) const {
+  std::chrono::duration<double> Idle = Now - TroubleAt;
+  return Trouble * std::exp2(-(Idle / TroubleHalfLife));
+}
+
 double upstream_health::readiness(time_point Now) const {
   std::chrono::duration<double> Age = Now - RampStart;
   return std::clamp(Age / RampTime, LeastReadiness, 1.0);
 }
 
+void upstream_health::addTrouble(double Attempt, time_point Now) {
+  double Past = trouble(Now);
+  TroubleAt = Now;
+  Trouble = Past + (Attempt - Past) * TroubleWeight;
+}
+
 void upstream_health::addLatency(duration NewLatency, time_point Now) {
   LatencyAt = Now;
   if (Latency == duration{0}) {
--- a/packages/core/masticproxy/src/Routing/upstream_health.h
+++ b/packages/core/masticproxy/src/Routing/upstream_health.h
@@ -26,8 +26,9 @@
   /// Notes that a connection failed.
   void failed(time_point Now);
 
-  /// Notes that an attempt was out for so long that another upstream was asked.
-  void slow(time_point Now);
+  /// Notes that an attempt was out for so long that another upstream was asked,
+  /// or that its query went on without it, while \p InFlight were open there.
+  void slow(unsigned InFlight, time_point Now);
 
   /// Notes that the upstream drains: it gets nothing until \p Until.
   void draining(time_point Until);
@@ -59,12 +60,18 @@
   /// upstream is tried again. Zero when nothing is known.
   duration latency(time_point Now) const;
 
+  /// \returns the share of its newest attempts that were refused, failed or
+  /// were slow, in [0, 1]; it falls while none is sent.
+  double trouble(time_point Now) const;
+
   /// \returns the share of its usual work that it may get, in (0, 1]: small
   /// after a start or a return.
   double readiness(time_point Now) const;
 
 private:
   void addLatency(duration Latency, time_point Now);
+  void addTrouble(double Attempt, time_point Now);
+  void cutConcurrency(unsigned InFlight);
 
   duration Latency{0};
   time_point LatencyAt{};
@@ -73,6 +80,8 @@
   time_point SuspectUntil{};
   time_point DrainUntil{};
   unsigned Failures = 0;
+  double Trouble = 0;
+  time_point TroubleAt{};
   /// Attempts open at a time; unbounded until the first refusal.
   double Concurrency = std::numeric_limits<double>::infinity();
 };
--- /dev/null
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -0,0 +1,181 @@
+/// \file
+/// What forwarded requests cost their upstreams, under loads seen in service.
+
+#include "draws.h"
+#include "forwarding_world.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace masticproxy;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Share of the requests for a shard that may reach it once more.
+constexpr double ExtraShare = 0.2;
+
+/// Attempts that one VM may send to a shard beyond that share.
+constexpr double ExtraSlack = 3;
+
+/// What was sent to each shard, and how many requests there were for it.
+struct shard_load {
+  double Sent = 0;
+  double Requests = 0;
+};
+
+/// Runs requests one after the other against upstreams that behave as drawn,
+/// and counts what reaches each shard.
+class load_schedule {
+public:
+  explicit load_schedule(forwarding_world &World) : World(World) {}
+
+  void request() {
+    ++Ticket;
+    take(World.arrive(Ticket));
+    for (int Step = 0; Step < 60 && World.Engine.running() > 0; ++Step) {
+      take(World.pass(milliseconds(2)));
+      std::vector<send_attempt> Now = std::exchange(Open, {});
+      for (const send_attempt &Attempt : Now)
+        endOrKeep(Attempt);
+    }
+    take(World.Engine.handle(caller_left{Ticket}));
+    for (const send_attempt &Attempt : std::exchange(Open, {}))
+      World.fail(Attempt, attempt_failure::Unknown);
+  }
+
+  /// Share of attempts that fail, of those that are refused, in percent.
+  int Failing = 0;
+  int Refusing = 0;
+  int Silent = 0;
+  std::map<std::string, shard_load> Loads;
+
+private:
+  void take(const std::vector<engine_command> &Commands) {
+    for (const send_attempt &Attempt : attemptsIn(Commands)) {
+      shard_load &Load = Loads[Attempt.Shard];
+      ++Load.Sent;
+      if (Attempt.Kind == attempt_kind::First)
+        ++Load.Requests;
+      Open.push_back(Attempt);
+    }
+  }
+
+  void endOrKeep(const send_attempt &Attempt) {
+    int Draw = draw(0, 100);
+    if (Draw < Failing)
+      return take(World.fail(Attempt, attempt_failure::Unknown));
+    if (Draw < Failing + Refusing)
+      return take(World.fail(Attempt, attempt_failure::Refused));
+    if (Draw < Failing + Refusing + Silent)
+      return Open.push_back(Attempt);
+    take(World.answer(Attempt));
+  }
+
+  forwarding_world &World;
+  query_ticket Ticket = 0;
+  std::vector<send_attempt> Open;
+};
+
+} // namespace
+
+// Upstreams that fail, refuse or keep silent, also all of a shard at once.
+Test(forwarded_load, keeps_each_shard_within_its_extra_share) {
+  cr_assert(rc::check([] {
+    forwarding_world World(2);
+    load_schedule Schedule(World);
+    for (int Phase = 0; Phase < 3; ++Phase) {
+      Schedule.Failing = draw(0, 100);
+      Schedule.Refusing = draw(0, 100 - Schedule.Failing);
+      Schedule.Silent = draw(0, 100 - Schedule.Failing - Schedule.Refusing);
+      for (int I = 0; I < 30; ++I)
+        Schedule.request();
+    }
+    for (const auto &[Shard, Load] : Schedule.Loads)
+      RC_ASSERT(Load.Sent - Load.Requests <=
+                ExtraShare * Load.Requests + ExtraSlack);
+  }));
+}
+
+// Servers of many shards turn slow at once: a fifth of all attempts.
+Test(forwarded_load, hedges_by_the_usual_latency_while_a_fifth_is_slow) {
+  forwarding_world World(5);
+  constexpr milliseconds Usual{14};
+  int Hedged = 0;
+  for (query_ticket Ticket = 1; Ticket <= 200; ++Ticket) {
+    auto Open = attemptsIn(World.arrive(Ticket));
+    auto Late = World.pass(Usual);
+    // The first replica of each shard is nine times as slow.
+    for (const send_attempt &Attempt : Open)
+      if (!Attempt.Upstream.ends_with("-0"))
+        World.answer(Attempt);
+    auto Hedges = attemptsIn(World.pass(Usual * 3));
+    Hedged += static_cast<int>(Hedges.size());
+    for (const send_attempt &Attempt : Hedges)
+      World.answer(Attempt);
+    World.pass(Usual * 5);
+    for (const send_attempt &Attempt : Open)
+      if (Attempt.Upstream.ends_with("-0"))
+        World.answer(Attempt);
+  }
+  cr_assert(Hedged > 0);
+}
+
+// A server that stays slow: it must not get its share of the attempts.
+Test(forwarded_load, avoids_an_upstream_that_stays_slow) {
+  forwarding_world World(1);
+  constexpr milliseconds Usual{14};
+  int Slow = 0;
+  constexpr int Requests = 400;
+  for (query_ticket Ticket = 1; Ticket <= Requests; ++Ticket) {
+    auto Open = attemptsIn(World.arrive(Ticket));
+    bool IsSlow = Open[0].Upstream == "s0-0";
+    Slow += IsSlow ? 1 : 0;
+    World.pass(Usual);
+    if (!IsSlow) {
+      World.answer(Open[0]);
+      continue;
+    }
+    auto Hedges = attemptsIn(World.pass(Usual * 4));
+    for (const send_attempt &Attempt : Hedges)
+      World.answer(Attempt);
+    World.pass(Usual * 4);
+    World.answer(Open[0]);
+  }
+  // A third of them would be its share.
+  cr_assert(Slow < Requests / 10, "%d", Slow);
+}
+
+// Refused connections of a crashed server: what never left is no extra load.
+Test(forwarded_load, pays_nothing_for_what_never_left) {
+  forwarding_world World(1);
+  for (query_ticket Ticket = 1; Ticket <= 50; ++Ticket) {
+    auto First = attemptsIn(World.arrive(Ticket));
+    auto Second = attemptsIn(World.fail(First[0], attempt_failure::NotSent));
+    cr_assert(Second.size() == 1, "request %d", static_cast<int>(Ticket));
+    cr_assert(Second[0].Kind == attempt_kind::First);
+    World.answer(Second[0]);
+  }
+}
+
+// An address that another upstream took over starts with a clean record.
+Test(forwarded_load, forgets_the_failures_of_an_address_that_was_taken_over) {
+  forwarding_world World(1, 2);
+  for (query_ticket Ticket = 1; Ticket <= 6; ++Ticket) {
+    auto Attempts = attemptsIn(World.arrive(Ticket));
+    while (!Attempts.empty() && Attempts[0].Upstream == "s0-0")
+      Attempts = attemptsIn(World.fail(Attempts[0], attempt_failure::NotSent));
+    if (!Attempts.empty())
+      World.answer(Attempts[0]);
+  }
+  World.Upstreams[0].Instance = "another";
+  World.publish();
+  bool Used = false;
+  for (query_ticket Ticket = 10; Ticket <= 40; ++Ticket) {
+    auto Attempts = attemptsIn(World.arrive(Ticket));
+    Used = Used || Attempts[0].Instance == "another";
+    World.answer(Attempts[0]);
+  }
+  cr_assert(Used);
+}
--- /dev/null
+++ b/packages/core/tests/upstream_registry_test.cpp
@@ -0,0 +1,148 @@
+/// \file
+/// Which registered upstreams are taken to exist, and which catalogue follows.
+
+#include "manual_clock.h"
+#include "masticproxy/Discovery"
+#include "masticproxy/Query"
+
+#include <criterion/criterion.h>
+
+using namespace masticproxy;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Time that a live upstream needs to register again after an outage of the
+/// platform, as the platform states it.
+constexpr milliseconds RegistersAgainWithin{2000};
+
+/// Time after a lapse in which no work may start at an upstream any more.
+constexpr milliseconds GoneBound{3000};
+
+/// Interval at which control looks for upstreams whose time is over.
+constexpr milliseconds LookInterval{500};
+
+upstream_entry entry(std::string Instance, std::string Address,
+                     std::string Shard = "s") {
+  upstream_entry Entry;
+  Entry.Instance = std::move(Instance);
+  Entry.Address = std::move(Address);
+  Entry.Shard = std::move(Shard);
+  Entry.DataCentre = "dc1";
+  Entry.Slots = 3;
+  return Entry;
+}
+
+std::shared_ptr<const routing_configuration> version(std::uint64_t Number) {
+  auto Configuration = std::make_shared<routing_configuration>();
+  Configuration->Version = Number;
+  Configuration->Services = {{"s", "/health", 10}, {"t", "/health", 10}};
+  Configuration->Indexes = {{"i", {"s", "t"}}};
+  route Route;
+  Route.Name = "r";
+  Route.Host = "h";
+  Route.PathPrefix = "/" + std::to_string(Number) + "/";
+  Configuration->Routes = {Route};
+  return Configuration;
+}
+
+std::vector<std::string> addressesOf(const query_catalogue &Catalogue,
+                                     const std::string &Shard) {
+  std::vector<std::string> Addresses;
+  for (const replica &Replica : Catalogue.replicasOf({Shard, {}}))
+    Addresses.push_back(Replica.Address);
+  return Addresses;
+}
+
+using addresses = std::vector<std::string>;
+
+/// A directory with a configuration and upstreams a and b of one shard.
+struct directory_fixture {
+  directory_fixture() {
+    Directory.handle(configuration_read{version(1)});
+    Newest = Directory.handle(
+        upstreams_listed{{entry("a", "1:1"), entry("b", "2:2")}});
+  }
+
+  addresses take(discovery_event Event) {
+    if (auto Next = Directory.handle(std::move(Event)))
+      Newest = Next;
+    return addressesOf(*Newest, "s");
+  }
+
+  addresses wait(milliseconds Span) {
+    for (milliseconds Past{0}; Past < Span; Past += LookInterval) {
+      Clock.advance(LookInterval);
+      if (auto Next = Directory.expire())
+        Newest = Next;
+    }
+    return addressesOf(*Newest, "s");
+  }
+
+  manual_clock Clock;
+  routing_directory Directory{Clock};
+  std::shared_ptr<const query_catalogue> Newest;
+};
+
+} // namespace
+
+Test(directory, is_complete_with_configuration_and_upstreams) {
+  manual_clock Clock;
+  routing_directory Directory(Clock);
+  cr_assert(Directory.handle(configuration_read{version(1)}) == nullptr);
+  cr_assert(not Directory.complete());
+  cr_assert(Directory.handle(upstreams_listed{}) != nullptr);
+  cr_assert(Directory.complete());
+}
+
+Test(directory, never_goes_back_to_an_older_configuration) {
+  directory_fixture F;
+  F.take(configuration_read{version(7)});
+  F.take(configuration_read{version(5)});
+  F.take(configuration_read{version(7)});
+  cr_assert(F.Directory.version() == 7U);
+  cr_assert(F.Newest->findRoute("h", "/7/x") != nullptr);
+  cr_assert(F.Newest->findRoute("h", "/5/x") == nullptr);
+}
+
+Test(directory, leaves_out_an_upstream_that_drains) {
+  directory_fixture F;
+  upstream_entry Draining = entry("a", "1:1");
+  Draining.Draining = true;
+  cr_assert(F.take(upstream_registered{Draining}) == addresses{"2:2"});
+  cr_assert(F.take(upstream_lapsed{"a"}) == addresses{"2:2"});
+}
+
+Test(directory, avoids_a_lapsed_upstream_while_another_is_registered) {
+  directory_fixture F;
+  cr_assert(F.take(upstream_lapsed{"a"}) == addresses{"2:2"});
+}
+
+// Registrations that lapse while the platform is away.
+Test(directory, keeps_a_shard_whose_registrations_lapse_together) {
+  directory_fixture F;
+  F.take(upstream_lapsed{"a"});
+  addresses Both{"1:1", "2:2"};
+  cr_assert(F.take(upstream_lapsed{"b"}) == Both);
+  cr_assert(F.wait(RegistersAgainWithin) == Both);
+  cr_assert(F.take(upstream_registered{entry("a", "1:1")}) == addresses{"1:1"});
+}
+
+Test(directory, drops_what_lapsed_before_it_must_get_no_work) {
+  directory_fixture F;
+  F.take(upstream_lapsed{"a"});
+  F.take(upstream_lapsed{"b"});
+  cr_assert(F.wait(GoneBound - LookInterval).empty());
+}
+
+Test(directory, takes_a_complete_list_for_lapses_too) {
+  directory_fixture F;
+  cr_assert(F.take(upstreams_listed{{entry("c", "3:3")}}) == addresses{"3:3"});
+  cr_assert(F.wait(GoneBound) == addresses{"3:3"});
+}
+
+Test(directory, follows_an_identity_that_starts_again_elsewhere) {
+  directory_fixture F;
+  addresses Expected{"9:9", "2:2"};
+  cr_assert(F.take(upstream_registered{entry("a", "9:9")}) == Expected);
+}
--- a/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
@@ -5,9 +5,7 @@
 
 using namespace masticproxy;
 
-namespace {
-
-std::string_view nameOf(const attempt_failed &Event) {
+std::string_view masticproxy::failureName(const attempt_failed &Event) {
   if (Event.UpstreamDied)
     return "upstream_died";
   switch (Event.Failure) {
@@ -27,8 +25,6 @@
   return "unknown";
 }
 
-} // namespace
-
 void attempt_log::sent(const send_attempt &Command) {
   begin("attempt_sent",
         {Command.RequestId,
@@ -59,7 +55,7 @@
   if (auto *Answered = std::get_if<attempt_answered>(&Event))
     end(Answered->Attempt, "attempt_answered", "answered");
   else if (auto *Failed = std::get_if<attempt_failed>(&Event))
-    end(Failed->Attempt, "attempt_failed", nameOf(*Failed));
+    end(Failed->Attempt, "attempt_failed", failureName(*Failed));
   else if (auto *Relay = std::get_if<relay_failed>(&Event))
     end(Relay->Attempt, "attempt_failed", toString(Relay->End));
 }
--- a/packages/daemon/masticproxy/src/Daemon/attempt_log.h
+++ b/packages/daemon/masticproxy/src/Daemon/attempt_log.h
@@ -11,6 +11,8 @@
 
 namespace masticproxy {
 
+struct attempt_failed;
+
 class event_log;
 struct send_attempt;
 struct send_relay;
@@ -48,6 +50,9 @@
   std::unordered_map<attempt_id, open_attempt> Open;
 };
 
+/// \returns how \p Event ended its attempt, in a word.
+std::string_view failureName(const attempt_failed &Event);
+
 } // namespace masticproxy
 
 #endif
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -13,7 +13,7 @@
                              counter_registry &Counters, event_log &Events,
                              effect_log &Effects)
     : Engine(Clock, std::move(Limits)), Counters(Counters), Events(Events),
-      Attempts(Events), Effects(Effects), Timer(Loop.context()),
+      Attempts(Events), Requests(Clock), Effects(Effects), Timer(Loop.context()),
       Queries(RequestRingCapacity,
               [this] {
                 Loop.post([this] {
@@ -73,6 +73,7 @@
 
 void engine_thread::handle(engine_event Event) {
   Attempts.ended(Event);
+  Requests.ended(Event);
   for (engine_command &Command : Engine.handle(std::move(Event)))
     std::visit([this](auto C) { carryOut(std::move(C)); }, std::move(Command));
   Running.store(Engine.running());
@@ -83,6 +84,7 @@
   std::string Label = "kind=\"" + std::string(toString(Command.Kind)) + "\"";
   Counters.get("attempts_total", Label).add();
   Attempts.sent(Command);
+  Requests.sent(Command);
   attempt_id Attempt = Command.Attempt;
   if (Upstreams->push(Command))
     return;
@@ -110,6 +112,7 @@
   Counters.get("outcomes_total", "outcome=\"" + std::string(Name) + "\"").add();
   Events.add("outcome", Command.RequestId, Name);
   Effects.ended(Command.Account, Command.Outcome);
+  Requests.delivered(Command);
   // The callers' thread never waits for this one, so its ring drains.
   while (!Callers->push(Command))
     std::this_thread::yield();
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Daemon/attempt_log.h"
 #include "masticproxy/src/Daemon/daemon_rings.h"
 #include "masticproxy/src/Daemon/loop_thread.h"
+#include "masticproxy/src/Daemon/request_log.h"
 #include "masticproxy/src/Query/query_engine.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -68,6 +69,7 @@
   counter_registry &Counters;
   event_log &Events;
   attempt_log Attempts;
+  request_log Requests;
   effect_log &Effects;
   boost::asio::steady_timer Timer;
   std::optional<time_point> TimerSetFor;
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -61,6 +61,7 @@
   Limits.SuspectSlow = Settings.SuspectSlow;
   Limits.Tuning.HedgeFactor = Settings.HedgeFactor;
   Limits.Tuning.RemoteCost = Settings.RemoteCost;
+  Limits.Tuning.TroubleCost = Settings.TroubleCost;
   Limits.Tuning.PerShard = shardBudget(Settings);
   return Limits;
 }
--- /dev/null
+++ b/packages/net/tests/object_feed_test.cpp
@@ -0,0 +1,194 @@
+/// \file
+/// A feed follows a platform that pages, forgets and falls silent.
+
+#include "masticproxy/Net"
+
+#include <boost/asio/io_context.hpp>
+#include <criterion/criterion.h>
+
+#include <thread>
+
+using namespace masticproxy;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds Wait{50};
+constexpr milliseconds CallTimeout{1000};
+
+/// Speaks plainly: a page is "list REVISION NAME...", or with "more" in front
+/// where another follows; changes are "changes REVISION NAME...".
+class plain_codec : public object_codec {
+public:
+  http_request listRequest(std::string_view Name) const override {
+    http_request Request;
+    Request.Target = "/list/" + std::string(Name);
+    return Request;
+  }
+  http_request watchRequest(std::uint64_t Revision,
+                            milliseconds) const override {
+    http_request Request;
+    Request.Target = "/watch/" + std::to_string(Revision);
+    return Request;
+  }
+  object_page_result readPage(const http_response &Answer) const override {
+    if (Answer.Status != 200)
+      return platform_unavailable{"refused"};
+    std::vector<std::string> Words = words(Answer.Body);
+    object_page Page;
+    bool More = Words[0] == "more";
+    Page.Revision = std::stoull(Words[1]);
+    Page.Objects = objects(Words);
+    if (More)
+      Page.Continue = Words.back();
+    return Page;
+  }
+  object_watch_result readChanges(const http_response &Answer) const override {
+    if (Answer.Status == 410)
+      return history_gone{};
+    if (Answer.Status != 200)
+      return platform_unavailable{"refused"};
+    std::vector<std::string> Words = words(Answer.Body);
+    platform_changes Changes;
+    Changes.Revision = std::stoull(Words[1]);
+    Changes.Objects = objects(Words);
+    return Changes;
+  }
+  std::vector<discovery_event>
+  readList(const std::vector<platform_object> &Objects,
+           std::vector<std::string> &) const override {
+    upstreams_listed Listed;
+    for (const platform_object &Object : Objects) {
+      Listed.Entries.emplace_back();
+      Listed.Entries.back().Instance = Object.Name;
+    }
+    return {Listed};
+  }
+  std::vector<discovery_event>
+  readChange(const platform_object &Object,
+             std::vector<std::string> &) const override {
+    return {upstream_lapsed{Object.Name}};
+  }
+
+private:
+  static std::vector<std::string> words(const std::string &Text) {
+    std::vector<std::string> Words;
+    std::string Word;
+    for (char C : Text + " ") {
+      if (C != ' ')
+        Word.push_back(C);
+      else if (!Word.empty())
+        Words.push_back(std::exchange(Word, ""));
+    }
+    return Words;
+  }
+  static std::vector<platform_object>
+  objects(const std::vector<std::string> &Words) {
+    std::vector<platform_object> Objects;
+    for (std::size_t I = 2; I < Words.size(); ++I)
+      Objects.push_back({"kind", Words[I], 1, false, ""});
+    return Objects;
+  }
+};
+
+/// Answers calls from a script, in order, and notes what was asked.
+class scripted_store {
+public:
+  struct line {
+    unsigned Status;
+    std::string Body;
+  };
+
+  explicit scripted_store(std::vector<line> Script)
+      : Script(std::move(Script)),
+        Server(Context, "127.0.0.1:0", {},
+               [this](const http_request &Request,
+                      const http_server::responder &Respond) {
+                 Asked.push_back(Request.Target);
+                 http_response Response;
+                 const line &Next = this->Script.at(Asked.size() - 1);
+                 Response.Status = Next.Status;
+                 Response.Body = Next.Body;
+                 Respond(std::move(Response));
+               }),
+        Thread([this] { Context.run(); }) {}
+  ~scripted_store() {
+    Context.stop();
+    Thread.join();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Server.port());
+  }
+
+  std::vector<std::string> Asked;
+
+private:
+  std::vector<line> Script;
+  boost::asio::io_context Context{1};
+  http_server Server;
+  std::thread Thread;
+};
+
+/// Takes \p Steps steps of a feed against \p Script. \returns what was asked.
+std::vector<std::string> follow(std::vector<scripted_store::line> Script,
+                                int Steps,
+                                std::vector<feed_result> &Results) {
+  scripted_store Store(std::move(Script));
+  platform_caller Caller(Store.address(), CallTimeout);
+  plain_codec Codec;
+  object_feed Feed(Caller, Codec);
+  for (int I = 0; I < Steps; ++I)
+    Results.push_back(Feed.next(Wait));
+  return Store.Asked;
+}
+
+using targets = std::vector<std::string>;
+
+} // namespace
+
+Test(object_feed, lists_all_pages_and_watches_from_the_oldest) {
+  std::vector<feed_result> Results;
+  auto Asked = follow({{200, "more 7 a b"}, {200, "list 9 c"},
+                       {200, "changes 11 c"}, {200, "changes 11"}},
+                      3, Results);
+  cr_assert(Asked == (targets{"/list/", "/list/b", "/watch/7", "/watch/11"}));
+  const auto &First = std::get<feed_news>(Results[0]);
+  cr_assert(std::get<upstreams_listed>(First.Events[0]).Entries.size() == 3);
+}
+
+// A platform that is about to lose its history can end a watch without the
+// changes that its revision covers.
+Test(object_feed, stays_where_it_is_without_news) {
+  std::vector<feed_result> Results;
+  auto Asked = follow({{200, "list 7 a"}, {200, "changes 20"},
+                       {200, "changes 21 a"}, {200, "changes 21"}},
+                      4, Results);
+  cr_assert(Asked == (targets{"/list/", "/watch/7", "/watch/7", "/watch/21"}));
+}
+
+Test(object_feed, lists_again_where_the_history_is_gone) {
+  std::vector<feed_result> Results;
+  auto Asked = follow({{200, "list 7 a"}, {410, ""}, {200, "list 30 b"},
+                       {200, "changes 30"}},
+                      3, Results);
+  cr_assert(Asked == (targets{"/list/", "/watch/7", "/list/", "/watch/30"}));
+  cr_assert(std::get<feed_news>(Results[1]).Listed);
+}
+
+Test(object_feed, asks_the_same_again_after_a_refusal) {
+  std::vector<feed_result> Results;
+  auto Asked = follow({{429, ""}, {200, "list 7 a"}, {503, ""},
+                       {200, "changes 8 a"}},
+                      4, Results);
+  cr_assert(Asked == (targets{"/list/", "/list/", "/watch/7", "/watch/7"}));
+  cr_assert(std::holds_alternative<platform_unavailable>(Results[0]));
+  cr_assert(std::holds_alternative<platform_unavailable>(Results[2]));
+}
+
+Test(object_feed, lists_from_the_start_where_a_page_fails) {
+  std::vector<feed_result> Results;
+  auto Asked = follow({{200, "more 7 a"}, {503, ""}, {200, "list 8 b"}}, 2,
+                      Results);
+  cr_assert(Asked == (targets{"/list/", "/list/a", "/list/"}));
+}
