--- a/packages/core/masticproxy/src/Discovery/catalogue_builder.cpp
+++ b/packages/core/masticproxy/src/Discovery/catalogue_builder.cpp
@@ -22,21 +22,24 @@
 
 replica_map replicasByShard(const routing_configuration &Configuration,
                             std::span<const upstream_entry> Upstreams) {
+  std::map<std::string_view, unsigned> Connections;
   replica_map Registered;
-  replica_map Lapsed;
   for (const shard_service &Service : Configuration.Services) {
-    std::vector<replica> &Sound = Registered[Service.Shard];
-    for (const upstream_entry &Entry : Upstreams) {
-      if (Entry.Shard != Service.Shard || Entry.Draining)
-        continue;
-      std::vector<replica> &Into =
-          Entry.Lapsed ? Lapsed[Service.Shard] : Sound;
-      Into.push_back(replicaOf(Entry, Service.Connections));
-    }
-    // Without any registered upstream, one that lapsed may still live.
-    if (Sound.empty())
-      Sound = std::move(Lapsed[Service.Shard]);
+    Connections[Service.Shard] = Service.Connections;
+    Registered[Service.Shard];
+  }
+  replica_map Lapsed;
+  for (const upstream_entry &Entry : Upstreams) {
+    auto Service = Connections.find(Entry.Shard);
+    if (Service == Connections.end() || Entry.Draining)
+      continue;
+    replica_map &Into = Entry.Lapsed ? Lapsed : Registered;
+    Into[Entry.Shard].push_back(replicaOf(Entry, Service->second));
   }
+  // Without any registered upstream, one that lapsed may still live.
+  for (auto &[Shard, Replicas] : Lapsed)
+    if (Registered[Shard].empty())
+      Registered[Shard] = std::move(Replicas);
   return Registered;
 }
 
--- a/packages/core/masticproxy/src/Discovery/discovery_event.h
+++ b/packages/core/masticproxy/src/Discovery/discovery_event.h
@@ -32,9 +32,8 @@
 };
 
 /// \brief All that the routing directory reacts to.
-using discovery_event =
-    std::variant<configuration_read, upstreams_listed, upstream_registered,
-                 upstream_lapsed>;
+using discovery_event = std::variant<configuration_read, upstreams_listed,
+                                     upstream_registered, upstream_lapsed>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Discovery/routing_directory.cpp
+++ b/packages/core/masticproxy/src/Discovery/routing_directory.cpp
@@ -30,8 +30,8 @@
 
 bool routing_directory::on(configuration_read Event) {
   // A read may be stale, and answers may overtake each other.
-  bool Newer = !Configuration ||
-               Event.Configuration->Version > Configuration->Version;
+  bool Newer =
+      !Configuration || Event.Configuration->Version > Configuration->Version;
   if (Newer)
     Configuration = std::move(Event.Configuration);
   return Newer;
--- a/packages/core/masticproxy/src/Discovery/routing_directory.h
+++ b/packages/core/masticproxy/src/Discovery/routing_directory.h
@@ -29,9 +29,7 @@
   std::shared_ptr<const query_catalogue> expire();
 
   /// \returns when expire() is due, if at all.
-  std::optional<time_point> nextExpiry() const {
-    return Registry.nextExpiry();
-  }
+  std::optional<time_point> nextExpiry() const { return Registry.nextExpiry(); }
 
   /// \returns the operator's number of the configuration in force; nothing
   /// before the first.
--- a/packages/core/masticproxy/src/Discovery/upstream_registry.cpp
+++ b/packages/core/masticproxy/src/Discovery/upstream_registry.cpp
@@ -1,6 +1,7 @@
 #include "masticproxy/src/Discovery/upstream_registry.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 using namespace masticproxy;
@@ -14,14 +15,13 @@
 } // namespace
 
 void upstream_registry::onListed(std::vector<upstream_entry> Entries) {
+  std::set<std::string_view> Listed;
+  for (const upstream_entry &Entry : Entries)
+    Listed.insert(Entry.Instance);
   std::vector<std::string> Missing;
-  for (const auto &[Instance, Record] : Records) {
-    bool Listed = std::any_of(
-        Entries.begin(), Entries.end(),
-        [&](const upstream_entry &E) { return E.Instance == Instance; });
-    if (!Listed)
-      Missing.push_back(Instance);
-  }
+  for (const auto &Known : Records)
+    if (Listed.count(Known.first) == 0)
+      Missing.push_back(Known.first);
   for (const std::string &Instance : Missing)
     onLapsed(Instance);
   for (upstream_entry &Entry : Entries)
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -10,8 +10,8 @@
 #include "masticproxy/src/Relay/relay_end.h"
 #include "masticproxy/src/Relay/relay_request.h"
 
-#include <cstdint>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
--- a/packages/core/masticproxy/src/Query/partial_answer.cpp
+++ b/packages/core/masticproxy/src/Query/partial_answer.cpp
@@ -17,10 +17,9 @@
   std::optional<std::size_t> Index = shardIndex(Result.Shard);
   if (!Index || Results[*Index])
     return false;
-  Results[*Index] = shard_result{std::move(Result.Shard),
-                                 std::move(Result.Body), Result.Status,
-                                 std::move(Result.Signature),
-                                 std::move(Result.Headers)};
+  Results[*Index] = shard_result{
+      std::move(Result.Shard), std::move(Result.Body), Result.Status,
+      std::move(Result.Signature), std::move(Result.Headers)};
   ++Answered;
   return true;
 }
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -13,6 +13,10 @@
 /// Shards of one upstream's queue that may start at one look.
 constexpr int WaitingRounds = 8;
 
+/// While no latencies are known, as after a start, an attempt is hedged after
+/// the target latency divided by this, so that the hedge can still be in time.
+constexpr int FirstHedgeDivisor = 3;
+
 /// Statuses from here on say that the upstream failed.
 constexpr unsigned FirstServerError = 500;
 
@@ -125,17 +129,27 @@
   Deadlines.emplace(Position->second.due(), Ticket);
   if (NeedsClaim)
     return awaitClaim(Ticket, Position->second);
-  startShards(Ticket, Position->second);
+  giveUpUnserved(Position->second);
+  if (!Position->second.hopeless())
+    startShards(Ticket, Position->second);
   finishIfOver(Ticket);
 }
 
+void query_engine::giveUpUnserved(query_run &Run) {
+  if (!Run.way())
+    return;
+  for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
+    if (replicasOf(Run, I).empty())
+      Run.giveUp(I);
+}
+
 void query_engine::on(attempt_answered Event) {
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
   query_run *Run = findRun(*Record);
   if (Run && isUnsuccessful(*Run, Event.Result))
-    return onUnsuccessful(std::move(*Record), std::move(Event));
+    return onUnsuccessful(*Record, std::move(Event));
   if (Record->Relayed)
     Router.attemptAnswered(Record->Upstream);
   else
@@ -152,7 +166,7 @@
   startWaiting(Waiting.takeFor(Record->Upstream));
 }
 
-void query_engine::onUnsuccessful(attempt_record Record,
+void query_engine::onUnsuccessful(const attempt_record &Record,
                                   attempt_answered Event) {
   attempt_failure Failure = attempt_failure::Failed;
   noteEnd(Record, &Failure);
@@ -294,9 +308,9 @@
   Upstreams.attemptStarted(Target.Address);
   Run.attemptStarted(Shard, Attempt, Target.Address);
   auto Added = Attempts.emplace(
-      Attempt, attempt_record{Ticket, Shard, Run.generation(), Target.Address,
-                              /*Relayed=*/false, Run.latencyClass(), Kind,
-                              Clock.now()});
+      Attempt,
+      attempt_record{Ticket, Shard, Run.generation(), Target.Address,
+                     /*Relayed=*/false, Run.latencyClass(), Kind, Clock.now()});
   if (Run.rules().MayRepeat && Kind != attempt_kind::Hedge)
     scheduleHedge(Attempt, Added.first->second);
   Commands.push_back(send_attempt{Attempt, Run.requestId(), Target.Address,
@@ -329,9 +343,21 @@
     startWaiting(Next);
 }
 
+std::optional<duration>
+query_engine::firstHedgeDelay(const attempt_record &Record) {
+  const query_run *Run = findRun(Record);
+  bool HasTarget = Run && Run->way() && Run->rules().TargetLatency.count() > 0;
+  if (!HasTarget)
+    return std::nullopt;
+  return duration(Run->rules().TargetLatency) / FirstHedgeDivisor;
+}
+
 void query_engine::scheduleHedge(attempt_id Attempt,
                                  const attempt_record &Record) {
-  if (std::optional<duration> Delay = Upstreams.hedgeDelay(Record.Index))
+  std::optional<duration> Delay = Upstreams.hedgeDelay(Record.Index);
+  if (!Delay)
+    Delay = firstHedgeDelay(Record);
+  if (Delay)
     Hedges.add(Clock.now() + *Delay, Attempt);
 }
 
@@ -347,9 +373,8 @@
   query_run *Run = findRun(Record);
   if (!Run || !Run->mayHedge(Record.Shard))
     return;
-  const replica *Chosen =
-      Upstreams.chooseHedge(replicasOf(*Run, Record.Shard),
-                            Run->tried(Record.Shard), Clock.now());
+  const replica *Chosen = Upstreams.chooseHedge(
+      replicasOf(*Run, Record.Shard), Run->tried(Record.Shard), Clock.now());
   bool Allowed = Chosen && Poison.mayStart(Run->fingerprint(), Chosen->Address);
   std::string_view Budget =
       budgetOf(*Run, Run->snapshot().Shards[Record.Shard]);
@@ -426,8 +451,8 @@
 
 void query_engine::finishWith(run_map::iterator Run, query_outcome Outcome) {
   Deadlines.erase({Run->second.due(), Run->first});
-  bool Stop = stopsLosers(Run->second) ||
-              std::holds_alternative<caller_gone>(Outcome);
+  bool Stop =
+      stopsLosers(Run->second) || std::holds_alternative<caller_gone>(Outcome);
   releaseClaim(Run->second, Outcome);
   std::string RequestId = Run->second.requestId();
   releasePlace(Run->first, Run->second, Outcome);
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -125,7 +125,9 @@
   /// \returns the upstreams that serve a shard of \p Run now.
   std::span<const replica> replicasOf(const query_run &Run,
                                       std::size_t Shard) const;
-  void onUnsuccessful(attempt_record Record, attempt_answered Event);
+  /// Gives up the shards that no upstream serves, before any is asked.
+  void giveUpUnserved(query_run &Run);
+  void onUnsuccessful(const attempt_record &Record, attempt_answered Event);
   /// Answers a run whose time for waiting is over, or lets it wait on.
   void onDue(run_map::iterator Run);
 
@@ -140,6 +142,8 @@
   void startAllWaiting();
   void hedgeDue();
   void hedge(attempt_id Attempt, const attempt_record &Record);
+  /// \returns when an attempt is hedged while no latencies are known.
+  std::optional<duration> firstHedgeDelay(const attempt_record &Record);
   void scheduleHedge(attempt_id Attempt, const attempt_record &Record);
   void noteEnd(const attempt_record &Record, const attempt_failure *Failure);
   /// Notes that the result of \p Attempt is not needed; with \p Stop the
--- a/packages/core/masticproxy/src/Query/query_outcome.h
+++ b/packages/core/masticproxy/src/Query/query_outcome.h
@@ -65,10 +65,9 @@
 struct caller_gone {};
 
 /// \brief What becomes of a request; exactly one for each.
-using query_outcome =
-    std::variant<answered, not_run, outcome_unknown, too_late, unknown_profile,
-                 unknown_index, bad_request, condemned, unknown_route,
-                 caller_gone>;
+using query_outcome = std::variant<answered, not_run, outcome_unknown, too_late,
+                                   unknown_profile, unknown_index, bad_request,
+                                   condemned, unknown_route, caller_gone>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -13,8 +13,8 @@
     : Request(std::move(NewRequest)), Fingerprint(fingerprintOf(Request)),
       Body(std::make_shared<const std::string>(std::move(Request.Body))),
       Profile(std::move(NewProfile)), Snapshot(std::move(NewSnapshot)),
-      Deadline(NewDeadline), AnswerBy(NewDeadline), Partial(Request.RequestId, Snapshot),
-      Shards(Snapshot->Shards.size()) {}
+      Deadline(NewDeadline), AnswerBy(NewDeadline),
+      Partial(Request.RequestId, Snapshot), Shards(Snapshot->Shards.size()) {}
 
 bool query_run::wantsAttempt(std::size_t Shard) const {
   const shard_state &State = Shards[Shard];
@@ -72,8 +72,8 @@
                               attempt_failure Failure) {
   closeAttempt(Shard, Attempt);
   shard_state &State = Shards[Shard];
-  bool MayHaveRun = Failure == attempt_failure::Unknown ||
-                    Failure == attempt_failure::Failed;
+  bool MayHaveRun =
+      Failure == attempt_failure::Unknown || Failure == attempt_failure::Failed;
   if (MayHaveRun) {
     State.MayHaveRun = true;
     ++State.Ran;
@@ -131,13 +131,14 @@
   // An empty snapshot has nothing left to ask: it is complete by definition.
   bool Enough = Stated.Asked == 0 || Stated.share() >= Profile.Coverage;
   if (Enough)
-    return answered{std::string(Partial.snapshot()), Stated,
-                    Partial.takeResults(),
-                    Route ? Route->Form : answer_form::Listed,
-                    Route ? Route->Records : 0};
+    return answered{
+        std::string(Partial.snapshot()), Stated, Partial.takeResults(),
+        Route ? Route->Form : answer_form::Listed, Route ? Route->Records : 0};
   if (Failure)
-    return answered{std::string(Partial.snapshot()), Stated,
-                    {std::move(*Failure)}, answer_form::Whole};
+    return answered{std::string(Partial.snapshot()),
+                    Stated,
+                    {std::move(*Failure)},
+                    answer_form::Whole};
   if (Claim.awaited())
     return not_run{"no claim was confirmed within the profile's wait"};
   if (nothingRan())
--- a/packages/core/masticproxy/src/Query/route_table.cpp
+++ b/packages/core/masticproxy/src/Query/route_table.cpp
@@ -9,8 +9,8 @@
   std::erase_if(Routes, [&](const auto &Other) {
     return Other->PathPrefix == Route.PathPrefix;
   });
-  auto Shorter = std::find_if(
-      Routes.begin(), Routes.end(), [&](const auto &Other) {
+  auto Shorter =
+      std::find_if(Routes.begin(), Routes.end(), [&](const auto &Other) {
         return Other->PathPrefix.size() < Route.PathPrefix.size();
       });
   Routes.insert(Shorter, std::make_shared<const route>(std::move(Route)));
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -155,8 +155,8 @@
   return Found->second;
 }
 
-upstream_table::upstream_state &
-upstream_table::stateOf(const replica &Replica, time_point Now) {
+upstream_table::upstream_state &upstream_table::stateOf(const replica &Replica,
+                                                        time_point Now) {
   upstream_state &State = stateOf(Replica.Address, Now);
   if (State.Instance == Replica.Instance)
     return State;
--- a/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
@@ -115,8 +115,8 @@
   State.HedgeDelay = State.Latencies.quantile(Tuning.HedgeQuantile);
   if (!State.HedgeDelay)
     return;
-  auto Delay =
-      std::chrono::duration_cast<duration>(*State.HedgeDelay * Tuning.HedgeFactor);
+  auto Delay = std::chrono::duration_cast<duration>(*State.HedgeDelay *
+                                                    Tuning.HedgeFactor);
   State.HedgeDelay = std::max<duration>(Delay, LeastHedgeDelay);
 }
 
--- a/packages/core/masticproxy/src/Routing/adaptive_policy.h
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.h
@@ -40,9 +40,7 @@
 
   /// \p Name is that of a shard with a budget of its own, or empty for the
   /// one that all others share; here as below.
-  void firstAttempt(std::string_view Name = {}) {
-    budget(Name).firstAttempt();
-  }
+  void firstAttempt(std::string_view Name = {}) { budget(Name).firstAttempt(); }
   bool takeHedge(std::string_view Name = {}) {
     return budget(Name).takeHedge();
   }
--- a/packages/core/tests/forwarded_load_test.cpp
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -179,3 +179,14 @@
   }
   cr_assert(Used);
 }
+
+// All VMs start at once and know no latencies yet.
+Test(forwarded_load, hedges_a_straggler_right_after_a_start) {
+  forwarding_world World(4);
+  auto First = attemptsIn(World.arrive(1));
+  for (std::size_t I = 1; I < First.size(); ++I)
+    World.answer(First[I]);
+  auto Hedges = attemptsIn(World.pass(forwarding_world::Target / 2));
+  cr_assert(Hedges.size() == 1 && Hedges[0].Shard == First[0].Shard);
+  cr_assert(outcomeIn<answered>(World.answer(Hedges[0])) != nullptr);
+}
--- a/packages/core/tests/forwarding_world.h
+++ b/packages/core/tests/forwarding_world.h
@@ -53,8 +53,7 @@
   }
 
   void publish() {
-    Engine.handle(
-        catalogue_changed{buildCatalogue(Configuration, Upstreams)});
+    Engine.handle(catalogue_changed{buildCatalogue(Configuration, Upstreams)});
   }
 
   std::vector<engine_command> arrive(query_ticket Ticket,
--- a/packages/core/tests/greatest_records_test.cpp
+++ b/packages/core/tests/greatest_records_test.cpp
@@ -45,6 +45,7 @@
 Test(greatest_records, agree_with_a_sort_of_all) {
   cr_assert(rc::check([] {
     std::vector<std::string> Bodies;
+    Bodies.reserve(6);
     int Count = *rc::gen::inRange(0, 6);
     for (int I = 0; I < Count; ++I)
       Bodies.push_back(drawBody());
--- a/packages/core/tests/index_choice_test.cpp
+++ b/packages/core/tests/index_choice_test.cpp
@@ -25,9 +25,8 @@
   Route.Name = "r";
   int Count = *rc::gen::inRange(1, 5);
   for (int I = 0; I < Count; ++I)
-    Route.Indexes.push_back(
-        {"index-" + std::to_string(I),
-         static_cast<double>(*rc::gen::inRange(1, 100))});
+    Route.Indexes.push_back({"index-" + std::to_string(I),
+                             static_cast<double>(*rc::gen::inRange(1, 100))});
   return Route;
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -62,7 +62,8 @@
                                const effect_log &Effects,
                                const forwarding_names &Names)
     : Settings(Settings), Clock(Clock), Counters(Counters), Events(Events),
-      Status(Status), Effects(Effects), Names(Names), Outcomes(RequestRingCapacity, [this] {
+      Status(Status), Effects(Effects), Names(Names),
+      Outcomes(RequestRingCapacity, [this] {
         Loop.post([this] {
           Outcomes.drain([this](deliver_outcome O) { deliver(std::move(O)); });
         });
@@ -149,8 +150,8 @@
     Query.RequestId = newRequestId();
   std::string RequestId = Query.RequestId;
   if (!configured())
-    return Respond(toForwardedResponse(RequestId, not_run{whyNotConfigured()},
-                                       Names));
+    return Respond(
+        toForwardedResponse(RequestId, not_run{whyNotConfigured()}, Names));
   applyLimits();
   if (!submit(std::move(Query), {Respond, /*Forwarded=*/true}))
     Respond(toForwardedResponse(RequestId, not_run{"this VM is overloaded"},
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -64,7 +64,8 @@
       Share(Links.Clock, shareTimingOf(Links.Settings)),
       Sync(Links.Clock, Links.Settings.PeersAddress,
            Links.Settings.HeartbeatInterval),
-      Directory(Links.Clock), Catalogue(std::make_shared<const query_catalogue>()) {}
+      Directory(Links.Clock),
+      Catalogue(std::make_shared<const query_catalogue>()) {}
 
 void control_duty::drainRings() {
   // After a pause, what the rings kept is older than the members' silence.
--- a/packages/daemon/masticproxy/src/Daemon/end_to_end_headers.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/end_to_end_headers.cpp
@@ -10,11 +10,17 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> HopByHop = {
-    "connection",       "keep-alive", "proxy-connection",
-    "proxy-authenticate", "proxy-authorization", "te",
-    "trailer",          "transfer-encoding", "upgrade",
-    "content-length",   "expect"};
+constexpr std::array<std::string_view, 11> HopByHop = {"connection",
+                                                       "keep-alive",
+                                                       "proxy-connection",
+                                                       "proxy-authenticate",
+                                                       "proxy-authorization",
+                                                       "te",
+                                                       "trailer",
+                                                       "transfer-encoding",
+                                                       "upgrade",
+                                                       "content-length",
+                                                       "expect"};
 
 std::string trimmedLowerCase(std::string_view Text) {
   std::string Result;
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -13,14 +13,15 @@
                              counter_registry &Counters, event_log &Events,
                              effect_log &Effects)
     : Engine(Clock, std::move(Limits)), Counters(Counters), Events(Events),
-      Attempts(Events), Requests(Clock), Effects(Effects), Timer(Loop.context()),
-      Queries(RequestRingCapacity,
-              [this] {
-                Loop.post([this] {
-                  Queries.drain(
-                      [this](caller_event E) { receive(std::move(E)); });
-                });
-              }),
+      Attempts(Events), Requests(Clock), Effects(Effects),
+      Timer(Loop.context()), Queries(RequestRingCapacity,
+                                     [this] {
+                                       Loop.post([this] {
+                                         Queries.drain([this](caller_event E) {
+                                           receive(std::move(E));
+                                         });
+                                       });
+                                     }),
       UpstreamEvents(RequestRingCapacity,
                      [this] {
                        Loop.post([this] {
--- a/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
@@ -165,7 +165,9 @@
                                                query_outcome Outcome,
                                                const forwarding_names &Names) {
   return std::visit(
-      [&](auto O) { return forwarded_renderer{RequestId, Names}(std::move(O)); },
+      [&](auto O) {
+        return forwarded_renderer{RequestId, Names}(std::move(O));
+      },
       std::move(Outcome));
 }
 
@@ -202,7 +204,8 @@
   Answer.Attempt = Attempt.Attempt;
   upstream_result &Result = Answer.Result;
   Result.Signature = findHeader(Response.Headers, Names.Signature);
-  bool Unsigned = Result.Signature.empty() && Response.Status < FirstRedirection;
+  bool Unsigned =
+      Result.Signature.empty() && Response.Status < FirstRedirection;
   if (Unsigned)
     return attempt_failed{Attempt.Attempt, attempt_failure::Failed};
   Result.RequestId = Attempt.RequestId;
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -30,8 +30,8 @@
                                    unsigned OwnConnections,
                                    const forwarding_names &Names)
     : Clock(Clock), Counters(Counters), Grant(Grant),
-      OwnConnections(OwnConnections), Names(Names),
-      ApplyTimer(Loop.context()), Commands(RequestRingCapacity, [this] {
+      OwnConnections(OwnConnections), Names(Names), ApplyTimer(Loop.context()),
+      Commands(RequestRingCapacity, [this] {
         Loop.post([this] {
           Commands.drain([this](upstream_command C) {
             std::visit([this](auto V) { carryOut(std::move(V)); },
@@ -114,9 +114,10 @@
     return report(attempt_failed{Attempt, attempt_failure::Unknown});
   // An upstream at its limit of connections closes them too; one that died
   // takes no connection.
-  checkUpstream(Loop.context(), Ended.Command.Upstream, [this, Attempt](bool Alive) {
-    report(attempt_failed{Attempt, attempt_failure::Unknown, !Alive});
-  });
+  checkUpstream(
+      Loop.context(), Ended.Command.Upstream, [this, Attempt](bool Alive) {
+        report(attempt_failed{Attempt, attempt_failure::Unknown, !Alive});
+      });
 }
 
 upstream_event upstreams_thread::read(const open_attempt &Ended,
--- a/packages/daemon/tests/forwarding_test.cpp
+++ b/packages/daemon/tests/forwarding_test.cpp
@@ -56,9 +56,9 @@
 }
 
 auto read(http_response Response) {
-  return fromForwardedResponse(attemptFor(toForwardedQuery(callersRequest(),
-                                                           Names)),
-                               std::move(Response), Names);
+  return fromForwardedResponse(
+      attemptFor(toForwardedQuery(callersRequest(), Names)),
+      std::move(Response), Names);
 }
 
 } // namespace
@@ -131,10 +131,10 @@
   struct {
     query_outcome Outcome;
     unsigned Status;
-  } Cases[] = {{not_run{"why"}, 503},          {outcome_unknown{"why"}, 502},
-               {too_late{{1, 2}}, 504},        {unknown_route{}, 404},
-               {unknown_profile{}, 503},       {unknown_index{}, 503},
-               {condemned{false}, 503},        {condemned{true}, 502},
+  } Cases[] = {{not_run{"why"}, 503},    {outcome_unknown{"why"}, 502},
+               {too_late{{1, 2}}, 504},  {unknown_route{}, 404},
+               {unknown_profile{}, 503}, {unknown_index{}, 503},
+               {condemned{false}, 503},  {condemned{true}, 502},
                {bad_request{"why"}, 400}};
   for (const auto &Case : Cases) {
     http_response Response = toForwardedResponse("r", Case.Outcome, Names);
@@ -153,9 +153,9 @@
 
 Test(forwarding, merges_results_and_names_their_signatures) {
   answered Answer{"7", {2, 3}, {}, answer_form::GreatestRecords, 2};
-  Answer.Results = {{"a", std::string(16, 'a') + std::string(16, 'c'), 200,
-                     "sig-a", {}},
-                    {"b", std::string(16, 'b') + "rest", 200, "sig-b", {}}};
+  Answer.Results = {
+      {"a", std::string(16, 'a') + std::string(16, 'c'), 200, "sig-a", {}},
+      {"b", std::string(16, 'b') + "rest", 200, "sig-b", {}}};
   http_response Response = toForwardedResponse("r", Answer, Names);
   cr_assert(Response.Status == 200);
   cr_assert(Response.Body == std::string(16, 'c') + std::string(16, 'b'));
--- a/packages/net/masticproxy/src/Net/http_platform.cpp
+++ b/packages/net/masticproxy/src/Net/http_platform.cpp
@@ -136,8 +136,8 @@
   });
 }
 
-platform_changes_result
-http_platform::changes(std::string Target, std::chrono::milliseconds Wait) {
+platform_changes_result http_platform::changes(std::string Target,
+                                               std::chrono::milliseconds Wait) {
   auto Answer = call("GET", std::move(Target), {}, Wait);
   if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
     return *Failure;
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -78,9 +78,9 @@
   if (Rules->CallerGone)
     watchCaller();
   Rules->Handler(std::move(Request),
-          [Self = shared_from_this()](http_response Response) {
-            Self->respond(std::move(Response));
-          });
+                 [Self = shared_from_this()](http_response Response) {
+                   Self->respond(std::move(Response));
+                 });
 }
 
 void http_session::watchCaller() {
--- a/packages/net/masticproxy/src/Net/tcp_options.cpp
+++ b/packages/net/masticproxy/src/Net/tcp_options.cpp
@@ -18,7 +18,8 @@
 constexpr int UserTimeoutMs = 4000;
 
 template <int Name>
-using tcp_option = boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+using tcp_option =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
 } // namespace
 
--- a/packages/net/tests/http_exchange_test.cpp
+++ b/packages/net/tests/http_exchange_test.cpp
@@ -141,12 +141,12 @@
 Test(connection, sends_methods_and_repeated_fields_as_they_are) {
   std::optional<http_request> Seen;
   boost::asio::io_context Context;
-  http_server Server(Context, "127.0.0.1:0", {},
-                     [&](http_request Request,
-                         const http_server::responder &Respond) {
-                       Seen = std::move(Request);
-                       Respond({});
-                     });
+  http_server Server(
+      Context, "127.0.0.1:0", {},
+      [&](http_request Request, const http_server::responder &Respond) {
+        Seen = std::move(Request);
+        Respond({});
+      });
   http_connection Connection(Context,
                              "127.0.0.1:" + std::to_string(Server.port()));
   http_request Request;
@@ -168,12 +168,12 @@
   std::uint64_t Arrived = 0;
   std::uint64_t Gone = 0;
   std::vector<http_server::responder> Held;
-  http_server Server(Context, "127.0.0.1:0", {},
-                     [&](const http_request &Request,
-                         const http_server::responder &Respond) {
-                       Arrived = Request.Serial;
-                       Held.push_back(Respond);
-                     });
+  http_server Server(
+      Context, "127.0.0.1:0", {},
+      [&](const http_request &Request, const http_server::responder &Respond) {
+        Arrived = Request.Serial;
+        Held.push_back(Respond);
+      });
   Server.onCallerGone([&](std::uint64_t Serial) { Gone = Serial; });
   {
     tcp::socket Caller(Context);
@@ -197,12 +197,12 @@
   int Arrived = 0;
   bool Gone = false;
   std::vector<http_server::responder> Held;
-  http_server Server(Context, "127.0.0.1:0", {},
-                     [&](const http_request &,
-                         const http_server::responder &Respond) {
-                       ++Arrived;
-                       Held.push_back(Respond);
-                     });
+  http_server Server(
+      Context, "127.0.0.1:0", {},
+      [&](const http_request &, const http_server::responder &Respond) {
+        ++Arrived;
+        Held.push_back(Respond);
+      });
   Server.onCallerGone([&](std::uint64_t) { Gone = true; });
   tcp::socket Caller(Context);
   Caller.connect({boost::asio::ip::address_v4::loopback(), Server.port()});
--- a/packages/net/tests/object_feed_test.cpp
+++ b/packages/net/tests/object_feed_test.cpp
@@ -132,8 +132,7 @@
 
 /// Takes \p Steps steps of a feed against \p Script. \returns what was asked.
 std::vector<std::string> follow(std::vector<scripted_store::line> Script,
-                                int Steps,
-                                std::vector<feed_result> &Results) {
+                                int Steps, std::vector<feed_result> &Results) {
   scripted_store Store(std::move(Script));
   platform_caller Caller(Store.address(), CallTimeout);
   plain_codec Codec;
@@ -149,8 +148,10 @@
 
 Test(object_feed, lists_all_pages_and_watches_from_the_oldest) {
   std::vector<feed_result> Results;
-  auto Asked = follow({{200, "more 7 a b"}, {200, "list 9 c"},
-                       {200, "changes 11 c"}, {200, "changes 11"}},
+  auto Asked = follow({{200, "more 7 a b"},
+                       {200, "list 9 c"},
+                       {200, "changes 11 c"},
+                       {200, "changes 11"}},
                       3, Results);
   cr_assert(Asked == (targets{"/list/", "/list/b", "/watch/7", "/watch/11"}));
   const auto &First = std::get<feed_news>(Results[0]);
@@ -161,26 +162,28 @@
 // changes that its revision covers.
 Test(object_feed, stays_where_it_is_without_news) {
   std::vector<feed_result> Results;
-  auto Asked = follow({{200, "list 7 a"}, {200, "changes 20"},
-                       {200, "changes 21 a"}, {200, "changes 21"}},
+  auto Asked = follow({{200, "list 7 a"},
+                       {200, "changes 20"},
+                       {200, "changes 21 a"},
+                       {200, "changes 21"}},
                       4, Results);
   cr_assert(Asked == (targets{"/list/", "/watch/7", "/watch/7", "/watch/21"}));
 }
 
 Test(object_feed, lists_again_where_the_history_is_gone) {
   std::vector<feed_result> Results;
-  auto Asked = follow({{200, "list 7 a"}, {410, ""}, {200, "list 30 b"},
-                       {200, "changes 30"}},
-                      3, Results);
+  auto Asked = follow(
+      {{200, "list 7 a"}, {410, ""}, {200, "list 30 b"}, {200, "changes 30"}},
+      3, Results);
   cr_assert(Asked == (targets{"/list/", "/watch/7", "/list/", "/watch/30"}));
   cr_assert(std::get<feed_news>(Results[1]).Listed);
 }
 
 Test(object_feed, asks_the_same_again_after_a_refusal) {
   std::vector<feed_result> Results;
-  auto Asked = follow({{429, ""}, {200, "list 7 a"}, {503, ""},
-                       {200, "changes 8 a"}},
-                      4, Results);
+  auto Asked =
+      follow({{429, ""}, {200, "list 7 a"}, {503, ""}, {200, "changes 8 a"}}, 4,
+             Results);
   cr_assert(Asked == (targets{"/list/", "/list/", "/watch/7", "/watch/7"}));
   cr_assert(std::holds_alternative<platform_unavailable>(Results[0]));
   cr_assert(std::holds_alternative<platform_unavailable>(Results[2]));
@@ -188,7 +191,7 @@
 
 Test(object_feed, lists_from_the_start_where_a_page_fails) {
   std::vector<feed_result> Results;
-  auto Asked = follow({{200, "more 7 a"}, {503, ""}, {200, "list 8 b"}}, 2,
-                      Results);
+  auto Asked =
+      follow({{200, "more 7 a"}, {503, ""}, {200, "list 8 b"}}, 2, Results);
   cr_assert(Asked == (targets{"/list/", "/list/a", "/list/"}));
 }
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -13,6 +13,14 @@
 step "capacity page"
 python3 tools/capacity.py --check
 
+step "boundary of platform/"
+./tools/check_boundary.sh
+./tools/check_boundary_test.sh
+
+step "the daemon alone, as it is deployed"
+cmake -S . -B build/deploy -G Ninja -DCMAKE_BUILD_TYPE=Release -DMASTICPROXY_DAEMON_ONLY=ON >/dev/null
+cmake --build build/deploy
+
 step "lint"
 ./tools/check_lint.sh build/release
 
