List after a cut watch; report a VM that is cut off as not ready

A VM whose next watch comes between the cut and the drop is accepted from its old revision and waits there for the next change, 5.5 s later. Ruled out: (1) refused or lost calls (none logged between), a stale list; (2) readiness by outcomes, which a dead shard would turn at all VMs at once.

--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -70,11 +70,16 @@
   relay_message Message;
 };
 
+/// \brief Find out whether an upstream takes connections.
+struct probe_upstream {
+  std::string Upstream;
+};
+
 /// \brief All that the query engine asks its surroundings to do.
 using engine_command =
     std::variant<send_attempt, cancel_attempt, deliver_outcome, send_relay,
                  cancel_relay, answer_relay, claim_wanted, claim_unused,
-                 poison_notice, drain_notice>;
+                 poison_notice, drain_notice, probe_upstream>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -109,12 +109,18 @@
 /// \brief The process is leaving: no new attempt is run for other VMs.
 struct relays_closed {};
 
+/// \brief Whether an upstream took a connection, after probe_upstream.
+struct upstream_probed {
+  std::string Upstream;
+  bool Reached = false;
+};
+
 /// \brief All that the query engine reacts to.
 using engine_event =
     std::variant<query_arrived, attempt_answered, attempt_failed,
                  catalogue_changed, timer_fired, leave_started, relay_failed,
                  relay_arrived, relay_cancelled, relays_closed, claim_decision,
-                 poison_notice, drain_notice, caller_left>;
+                 poison_notice, drain_notice, caller_left, upstream_probed>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -56,7 +56,8 @@
       Upstreams(makePolicy(this->Limits.Policy, this->Limits.Seed,
                            this->Limits.Tuning)),
       Admission(this->Limits.Queries), Inbox(this->Limits.Relayed),
-      Poison(Clock, this->Limits.ProbeFirst), Indexes(this->Limits.Seed) {
+      Poison(Clock, this->Limits.ProbeFirst), Reach(Clock),
+      Indexes(this->Limits.Seed) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
   Upstreams.speakToAll(this->Limits.AllDataCentres);
   Upstreams.suspectSlow(this->Limits.SuspectSlow);
@@ -72,12 +73,15 @@
     return Found != Attempts.end() && !Found->second.Cancelled;
   });
   tellDrains();
+  probeSilent();
   return std::exchange(Commands, {});
 }
 
 std::optional<time_point> query_engine::nextWakeup() const {
   // Drains are told also while no request is under way.
   std::optional<time_point> Notice = Upstreams.nextNotice();
+  if (std::optional<time_point> Probe = Reach.nextProbe())
+    Notice = std::min(Notice.value_or(*Probe), *Probe);
   if (Deadlines.empty())
     return Notice;
   time_point Next = Deadlines.begin()->first;
@@ -147,6 +151,7 @@
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
+  Reach.heard(Record->Upstream);
   query_run *Run = findRun(*Record);
   if (Run && isUnsuccessful(*Run, Event.Result))
     return onUnsuccessful(*Record, std::move(Event));
@@ -183,6 +188,8 @@
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
+  if (Event.Failure == attempt_failure::Refused)
+    Reach.heard(Record->Upstream);
   noteEnd(*Record, &Event.Failure);
   noteDeath(Event);
   goOnAfter(*Record, Event);
@@ -230,6 +237,17 @@
     finishWith(Run, caller_gone{});
 }
 
+void query_engine::on(const upstream_probed &Event) {
+  if (Event.Reached)
+    Reach.heard(Event.Upstream);
+}
+
+void query_engine::probeSilent() {
+  Reach.look();
+  for (std::string &Upstream : Reach.takeProbes())
+    Commands.emplace_back(probe_upstream{std::move(Upstream)});
+}
+
 void query_engine::onDue(run_map::iterator Run) {
   bool Over = Run->second.deadline() <= Clock.now();
   if (Over || Run->second.enough())
@@ -306,6 +324,8 @@
   Poison.started(Attempt, Run.fingerprint(), Target.Address,
                  Run.snapshot().Shards[Shard].Id);
   Upstreams.attemptStarted(Target.Address);
+  if (isRemote(Target))
+    Reach.sent(Target.Address);
   Run.attemptStarted(Shard, Attempt, Target.Address);
   auto Added = Attempts.emplace(
       Attempt,
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -14,6 +14,7 @@
 #include "masticproxy/src/Relay/relay_router.h"
 #include "masticproxy/src/Routing/attempt_kind.h"
 #include "masticproxy/src/Routing/hedge_schedule.h"
+#include "masticproxy/src/Routing/reach_monitor.h"
 #include "masticproxy/src/Routing/routing_policy.h"
 #include "masticproxy/src/Routing/waiting_list.h"
 
@@ -75,6 +76,9 @@
   /// \returns the requests under way.
   std::size_t running() const { return Runs.size(); }
 
+  /// \returns whether nearly all upstreams of other data centres are silent.
+  bool cutOff() const { return Reach.cutOff(); }
+
   /// Sets how many connections this VM may hold to each upstream.
   void setGrant(std::shared_ptr<const connection_grant> Grant) {
     Upstreams.setGrant(std::move(Grant));
@@ -118,6 +122,12 @@
   void on(const poison_notice &Event);
   void on(const drain_notice &Event);
   void on(const caller_left &Event);
+  void on(const upstream_probed &Event);
+  void probeSilent();
+  /// \returns whether \p Target is spoken to across data centres.
+  bool isRemote(const replica &Target) const {
+    return Limits.AllDataCentres && Target.DataCentre != Limits.DataCentre;
+  }
 
   /// Lets a route name profile and index of a forwarded request. \returns the
   /// route, or null where none takes it.
@@ -186,6 +196,7 @@
   relay_router Router;
   relay_inbox Inbox;
   poison_guard Poison;
+  reach_monitor Reach;
   run_map Runs;
   std::unordered_map<attempt_id, attempt_record> Attempts;
   index_choice Indexes;
--- a/packages/core/tests/engine_audit.h
+++ b/packages/core/tests/engine_audit.h
@@ -85,6 +85,7 @@
   void on(const claim_unused &) {}
   void on(const poison_notice &) {}
   void on(const drain_notice &) {}
+  void on(const probe_upstream &) {}
 
   /// No VM of another data centre is known, so none may be asked.
   void on(const send_relay &) { RC_FAIL("a relay to nowhere"); }
--- a/packages/core/tests/relay_world.h
+++ b/packages/core/tests/relay_world.h
@@ -194,6 +194,7 @@
   void carryOut(node &, claim_unused &) {}
   void carryOut(node &, poison_notice &) {}
   void carryOut(node &, drain_notice &) {}
+  void carryOut(node &, probe_upstream &) {}
 
   void carryOut(node &, deliver_outcome &C) {
     Records[C.RequestId].Outcomes.push_back(std::move(C.Outcome));
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -230,6 +230,9 @@
     Reason = "leaving\n";
   else if (!configured())
     Reason = whyNotConfigured() + "\n";
+  else if (CutOff())
+    // Another data centre's VMs can serve what this one can't.
+    Reason = "cut off from the upstreams of the other data centres\n";
   else if (!Newest->SharesSettled)
     Reason = "no share of the upstreams' connections yet\n";
   else
@@ -263,11 +266,14 @@
     return;
   pending_request Request = std::move(Found->second);
   Pending.erase(Found);
-  Request.Respond(
-      Request.Forwarded
-          ? toForwardedResponse(Outcome.RequestId, std::move(Outcome.Outcome),
-                                Names)
-          : toCallerResponse(Outcome.RequestId, std::move(Outcome.Outcome)));
+  if (!Request.Forwarded)
+    return Request.Respond(
+        toCallerResponse(Outcome.RequestId, std::move(Outcome.Outcome)));
+  http_response Response =
+      toForwardedResponse(Outcome.RequestId, std::move(Outcome.Outcome), Names);
+  // Its next connection goes to a VM that is not cut off.
+  Response.Close = Response.Close || CutOff();
+  Request.Respond(std::move(Response));
 }
 
 std::string callers_thread::newRequestId() {
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.h
@@ -8,6 +8,7 @@
 #include "masticproxy/src/Net/http_server.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +37,11 @@
 
   outcome_ring &outcomes() { return Outcomes; }
 
+  /// Sets what says whether this VM is cut off; before start().
+  void setCutOff(std::function<bool()> NewCutOff) {
+    CutOff = std::move(NewCutOff);
+  }
+
   /// Listens and starts. \throws std::runtime_error where it can't listen.
   void start();
   void stop();
@@ -88,6 +94,7 @@
   query_ring *Engine = nullptr;
   std::unordered_map<query_ticket, pending_request> Pending;
   std::atomic<bool> Ready{true};
+  std::function<bool()> CutOff = [] { return false; };
 };
 
 } // namespace masticproxy
--- a/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
@@ -53,9 +53,11 @@
 /// From the engine to the control duty: what the other VMs have to hear.
 using engine_notice = std::variant<poison_notice, drain_notice>;
 /// From the engine to the upstreams duty.
-using upstream_command = std::variant<send_attempt, cancel_attempt>;
+using upstream_command =
+    std::variant<send_attempt, cancel_attempt, probe_upstream>;
 /// From the upstreams duty to the engine.
-using upstream_event = std::variant<attempt_answered, attempt_failed>;
+using upstream_event =
+    std::variant<attempt_answered, attempt_failed, upstream_probed>;
 /// From the engine to the relay duty.
 using relay_command = std::variant<send_relay, cancel_relay, answer_relay>;
 /// From the relay duty to the engine.
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -80,9 +80,10 @@
   if (stopping())
     return;
   Counters.get("platform_errors_total", "kind=\"" + Kind + "\"").add();
-  if (Reachable.exchange(false))
-    logWarning("event=platform_lost kind=" + Kind + " reason=\"" +
-               Failure.Reason + "\"");
+  // Bounded by the pauses between the calls.
+  bool First = Reachable.exchange(false);
+  logWarning("event=platform_" + std::string(First ? "lost" : "still_lost") +
+             " kind=" + Kind + " reason=\"" + Failure.Reason + "\"");
   thread_local std::minstd_rand Random{std::random_device{}()};
   pause(Backoff.onFailure(std::uniform_real_distribution<>(0, 1)(Random)));
 }
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -1,6 +1,7 @@
 #include "masticproxy/src/Daemon/engine_thread.h"
 
 #include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/daemon_log.h"
 #include "masticproxy/src/Daemon/effect_log.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Query/outcome_code.h"
@@ -78,6 +79,7 @@
   for (engine_command &Command : Engine.handle(std::move(Event)))
     std::visit([this](auto C) { carryOut(std::move(C)); }, std::move(Command));
   Running.store(Engine.running());
+  noteReach();
   schedule();
 }
 
@@ -108,6 +110,22 @@
   Upstreams->push(Wrapped);
 }
 
+void engine_thread::carryOut(const probe_upstream &Command) {
+  // A lost probe is made up for by the next round.
+  upstream_command Wrapped;
+  Wrapped = Command;
+  Upstreams->push(Wrapped);
+}
+
+void engine_thread::noteReach() {
+  bool Now = Engine.cutOff();
+  if (CutOff.exchange(Now) == Now)
+    return;
+  logWarning(Now ? "event=cut_off reason=\"nearly all upstreams of other data "
+                   "centres are silent\""
+                 : "event=reached_again");
+}
+
 void engine_thread::carryOut(const deliver_outcome &Command) {
   std::string_view Name = codeOf(Command.Outcome);
   Counters.get("outcomes_total", "outcome=\"" + std::string(Name) + "\"").add();
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -44,6 +44,9 @@
   /// Admits no request from here on.
   void leave();
 
+  /// \returns whether this VM is cut off from other data centres' upstreams.
+  bool cutOff() const { return CutOff.load(); }
+
   /// \returns the requests under way.
   std::size_t running() const { return Running.load(); }
 
@@ -51,6 +54,7 @@
   void handle(engine_event Event);
   void carryOut(const send_attempt &Command);
   void carryOut(const cancel_attempt &Command);
+  void carryOut(const probe_upstream &Command);
   void carryOut(const deliver_outcome &Command);
   void carryOut(const send_relay &Command);
   void carryOut(const cancel_relay &Command);
@@ -63,6 +67,7 @@
   void carryOut(const drain_notice &Command);
   void take(engine_update Update);
   void schedule();
+  void noteReach();
 
   loop_thread Loop;
   query_engine Engine;
@@ -84,6 +89,7 @@
   claim_request_ring *Claims = nullptr;
   notice_ring *Control = nullptr;
   std::atomic<std::size_t> Running{0};
+  std::atomic<bool> CutOff{false};
 };
 
 } // namespace masticproxy
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -122,6 +122,7 @@
     Peers.handOverRelaysTo(Relay);
     Upstreams.connect(Engine.upstreamEvents());
     Callers.connect(Engine.queries());
+    Callers.setCutOff([this] { return Engine.cutOff(); });
     Peers.connect(FromPeers);
     PlatformDuty.connect(FromPlatform);
   }
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -94,6 +94,14 @@
                        });
 }
 
+void upstreams_thread::carryOut(const probe_upstream &Command) {
+  Counters.get("upstream_probes_total").add();
+  std::string Upstream = Command.Upstream;
+  checkUpstream(Loop.context(), Upstream, [this, Upstream](bool Reached) {
+    report(upstream_probed{Upstream, Reached});
+  });
+}
+
 void upstreams_thread::finish(attempt_id Attempt, exchange_result Result) {
   auto Found = Open.find(Attempt);
   if (Found == Open.end())
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
@@ -64,6 +64,7 @@
 
   void carryOut(const send_attempt &Command);
   void carryOut(const cancel_attempt &Command);
+  void carryOut(const probe_upstream &Command);
   void finish(attempt_id Attempt, exchange_result Result);
   /// Says what \p Response to \p Ended means.
   upstream_event read(const open_attempt &Ended, http_response Response);
--- a/packages/net/masticproxy/src/Net/object_feed.cpp
+++ b/packages/net/masticproxy/src/Net/object_feed.cpp
@@ -8,14 +8,23 @@
 using namespace masticproxy;
 
 feed_result object_feed::next(std::chrono::milliseconds Wait) {
-  return Revision ? watch(Wait) : list();
+  if (!Revision)
+    return list();
+  feed_result Result = watch(Wait);
+  // A platform that is about to lose its history can cut watches, and accept
+  // new ones, before it tells the changes in between. Only a list is sure.
+  if (std::holds_alternative<platform_unavailable>(Result))
+    Revision.reset();
+  return Result;
 }
 
 feed_result object_feed::list() {
   std::vector<platform_object> Objects;
   std::optional<std::uint64_t> Oldest;
   std::string Continue;
+  Pages = 0;
   do {
+    ++Pages;
     auto Answer = Platform.call(Codec.listRequest(Continue));
     if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
       return *Failure;
@@ -55,10 +64,13 @@
         Codec.readChange(Object, News.Problems);
     std::move(Events.begin(), Events.end(), std::back_inserter(News.Events));
   }
-  // A platform that loses its history may answer a watch without the changes
-  // that its revision covers, so only news move on.
+  News.Revision = std::max(*Revision, Changes.Revision);
+  // For the same reason a watch without news is no proof that there are none:
+  // where a list costs no more than a watch, it comes next, and elsewhere the
+  // next watch goes back to the last news.
   if (!Changes.Objects.empty())
-    Revision = std::max(*Revision, Changes.Revision);
-  News.Revision = *Revision;
+    Revision = News.Revision;
+  else if (Pages == 1)
+    Revision.reset();
   return News;
 }
--- a/packages/net/masticproxy/src/Net/object_feed.h
+++ b/packages/net/masticproxy/src/Net/object_feed.h
@@ -27,8 +27,8 @@
 
 using feed_result = std::variant<feed_news, platform_unavailable>;
 
-/// \brief Follows one kind of a platform's objects: a list at first and where
-/// the history is gone, then one watch after the other.
+/// \brief Follows one kind of a platform's objects: a list at first, after a
+/// failure and where the history is gone, then one watch after the other.
 class object_feed {
 public:
   object_feed(const platform_caller &Platform, const object_codec &Codec)
@@ -43,8 +43,10 @@
 
   const platform_caller &Platform;
   const object_codec &Codec;
-  /// Nothing until a list was read.
+  /// Nothing where a list has to be read first.
   std::optional<std::uint64_t> Revision;
+  /// Pages of the newest list.
+  unsigned Pages = 0;
 };
 
 } // namespace masticproxy
