Send no second attempt to an address that another upstream took over

Each attempt there got 421, a free place again, and counted as an arrival at the other shard, until the old registrations lapsed. Beside it, an attempt that never left after one that was refused counted as a first one. Change: a misdirected attempt bars that identity; an attempt is a first one only if none has reached an upstream. Both new tests fail on the old code.

--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -65,6 +65,8 @@
   Unknown,
   /// The upstream ran the request and could not answer it.
   Failed,
+  /// Another upstream has the address and refused the request.
+  Misdirected,
 };
 
 /// \brief An attempt ended without a result.
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -188,6 +188,8 @@
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
+  if (Event.Failure == attempt_failure::Misdirected)
+    Upstreams.misdirected(Record->Instance);
   if (Event.Failure == attempt_failure::Refused)
     Reach.heard(Record->Upstream);
   noteEnd(*Record, &Event.Failure);
@@ -328,9 +330,9 @@
     Reach.sent(Target.Address);
   Run.attemptStarted(Shard, Attempt, Target.Address);
   auto Added = Attempts.emplace(
-      Attempt,
-      attempt_record{Ticket, Shard, Run.generation(), Target.Address,
-                     /*Relayed=*/false, Run.latencyClass(), Kind, Clock.now()});
+      Attempt, attempt_record{Ticket, Shard, Run.generation(), Target.Address,
+                              /*Relayed=*/false, Target.Instance,
+                              Run.latencyClass(), Kind, Clock.now()});
   if (Run.rules().MayRepeat && Kind != attempt_kind::Hedge)
     scheduleHedge(Attempt, Added.first->second);
   Commands.push_back(send_attempt{Attempt, Run.requestId(), Target.Address,
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -98,6 +98,8 @@
     /// Address of the upstream, or name of the VM where Relayed.
     std::string Upstream;
     bool Relayed = false;
+    /// Identity that the upstream was expected to have; empty: any.
+    std::string Instance;
     std::string Index;
     attempt_kind Kind = attempt_kind::First;
     time_point SentAt{};
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -72,6 +72,7 @@
                               attempt_failure Failure) {
   closeAttempt(Shard, Attempt);
   shard_state &State = Shards[Shard];
+  State.Arrived = State.Arrived || Failure != attempt_failure::NotSent;
   bool MayHaveRun =
       Failure == attempt_failure::Unknown || Failure == attempt_failure::Failed;
   if (MayHaveRun) {
@@ -80,9 +81,7 @@
   }
   // What never left costs no upstream anything, so the next attempt at the
   // shard of a forwarded request is its first.
-  bool Unseen = Failure == attempt_failure::NotSent && State.Ran == 0 &&
-                State.Open.empty();
-  if (Route && Unseen)
+  if (Route && !State.Arrived && State.Open.empty())
     State.Attempted = false;
 }
 
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -174,6 +174,8 @@
     bool MayHaveRun = false;
     /// Attempts that ended and may have run.
     unsigned Ran = 0;
+    /// An attempt has reached an upstream, which may have refused it.
+    bool Arrived = false;
     /// A first attempt has earned its share of a further one.
     bool Earned = false;
     /// No upstream serves the shard.
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -7,6 +7,13 @@
 
 using namespace masticproxy;
 
+namespace {
+
+/// Replaced identities that are remembered.
+constexpr std::size_t MostReplaced = 4096;
+
+} // namespace
+
 const replica *upstream_table::choose(std::span<const replica> Replicas,
                                       std::span<const std::string> Tried,
                                       time_point Now) {
@@ -91,10 +98,19 @@
   case attempt_failure::Failed:
     return Health.failed(Now);
   case attempt_failure::SnapshotGone:
+  case attempt_failure::Misdirected:
     return;
   }
 }
 
+void upstream_table::misdirected(const std::string &Instance) {
+  // An identity is of one start, so it never comes back; old ones are forgotten
+  // all at once, which costs an attempt each at most.
+  if (Replaced.size() >= MostReplaced)
+    Replaced.clear();
+  Replaced.insert(Instance);
+}
+
 void upstream_table::abandoned(const attempt_facts &Attempt, time_point Now) {
   upstream_state &State = stateOf(Attempt.Upstream, Now);
   upstream_health &Health = State.Health;
@@ -125,7 +141,7 @@
   std::vector<candidate> Set;
   bool AnyTold = false;
   for (const replica &Replica : Replicas) {
-    if (!mayChoose(Replica))
+    if (!mayChoose(Replica) || Replaced.count(Replica.Instance) > 0)
       continue;
     upstream_state &State = stateOf(Replica, Now);
     bool WasTried =
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -94,6 +95,10 @@
   void failed(const attempt_facts &Attempt, attempt_failure Failure,
               time_point Now);
 
+  /// Notes that another upstream has the address of \p Instance, which gets no
+  /// attempt any more.
+  void misdirected(const std::string &Instance);
+
   /// Notes that an attempt was given up.
   void abandoned(const attempt_facts &Attempt, time_point Now);
 
@@ -145,6 +150,8 @@
   unsigned OwnConnections = 0;
   std::shared_ptr<const connection_grant> Grant;
   std::map<std::string, upstream_state, std::less<>> States;
+  /// Identities whose address another upstream has taken over.
+  std::set<std::string> Replaced;
 };
 
 } // namespace masticproxy
--- a/packages/core/tests/forwarded_load_test.cpp
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -33,7 +33,10 @@
 
   void request() {
     ++Ticket;
-    take(World.arrive(Ticket));
+    std::vector<engine_command> Commands = World.arrive(Ticket);
+    for (const send_attempt &Attempt : attemptsIn(Commands))
+      ++Loads[Attempt.Shard].Requests;
+    take(Commands);
     for (int Step = 0; Step < 60 && World.Engine.running() > 0; ++Step) {
       take(World.pass(milliseconds(2)));
       std::vector<send_attempt> Now = std::exchange(Open, {});
@@ -49,6 +52,7 @@
   int Failing = 0;
   int Refusing = 0;
   int Silent = 0;
+  int Unsent = 0;
   std::map<std::string, shard_load> Loads;
 
 private:
@@ -56,8 +60,6 @@
     for (const send_attempt &Attempt : attemptsIn(Commands)) {
       shard_load &Load = Loads[Attempt.Shard];
       ++Load.Sent;
-      if (Attempt.Kind == attempt_kind::First)
-        ++Load.Requests;
       Open.push_back(Attempt);
     }
   }
@@ -70,6 +72,11 @@
       return take(World.fail(Attempt, attempt_failure::Refused));
     if (Draw < Failing + Refusing + Silent)
       return Open.push_back(Attempt);
+    if (Draw < Failing + Refusing + Silent + Unsent) {
+      // It reached nobody.
+      --Loads[Attempt.Shard].Sent;
+      return take(World.fail(Attempt, attempt_failure::NotSent));
+    }
     take(World.answer(Attempt));
   }
 
@@ -89,6 +96,8 @@
       Schedule.Failing = draw(0, 100);
       Schedule.Refusing = draw(0, 100 - Schedule.Failing);
       Schedule.Silent = draw(0, 100 - Schedule.Failing - Schedule.Refusing);
+      Schedule.Unsent =
+          draw(0, 100 - Schedule.Failing - Schedule.Refusing - Schedule.Silent);
       for (int I = 0; I < 30; ++I)
         Schedule.request();
     }
@@ -159,6 +168,44 @@
   }
 }
 
+// All upstreams of a shard refuse or can't be connected to, in turns.
+Test(forwarded_load, pays_for_what_arrives_after_a_refusal) {
+  forwarding_world World(1);
+  int Free = 0;
+  for (query_ticket Ticket = 1; Ticket <= 50; ++Ticket) {
+    auto Open = attemptsIn(World.arrive(Ticket));
+    for (int Turn = 0; Turn < 10 && !Open.empty(); ++Turn) {
+      Free += Turn > 0 && Open[0].Kind == attempt_kind::First ? 1 : 0;
+      auto Failure =
+          Turn % 2 == 0 ? attempt_failure::Refused : attempt_failure::NotSent;
+      Open = attemptsIn(World.fail(Open[0], Failure));
+      if (Open.empty())
+        Open = attemptsIn(World.pass(milliseconds(30)));
+    }
+    World.Engine.handle(caller_left{Ticket});
+  }
+  cr_assert(Free == 0, "%d", Free);
+}
+
+// Upstreams are replaced and their addresses go to another shard: each attempt
+// there is extra load for that shard.
+Test(forwarded_load, asks_no_second_time_where_the_address_was_taken_over) {
+  forwarding_world World(1, 2);
+  int Misdirected = 0;
+  for (query_ticket Ticket = 1; Ticket <= 50; ++Ticket) {
+    auto Open = attemptsIn(World.arrive(Ticket));
+    for (int Turn = 0; Turn < 4 && !Open.empty(); ++Turn) {
+      bool Taken = Open[0].Instance == "s0-0";
+      Misdirected += Taken ? 1 : 0;
+      Open =
+          attemptsIn(Taken ? World.fail(Open[0], attempt_failure::Misdirected)
+                           : World.answer(Open[0]));
+    }
+    World.Engine.handle(caller_left{Ticket});
+  }
+  cr_assert(Misdirected == 1, "%d", Misdirected);
+}
+
 // An address that another upstream took over starts with a clean record.
 Test(forwarded_load, forgets_the_failures_of_an_address_that_was_taken_over) {
   forwarding_world World(1, 2);
--- a/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
@@ -19,6 +19,8 @@
     return "snapshot_gone";
   case attempt_failure::Unknown:
     return "unknown";
+  case attempt_failure::Misdirected:
+    return "misdirected";
   case attempt_failure::Failed:
     return "failed";
   }
--- a/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
@@ -193,9 +193,9 @@
                                    http_response Response,
                                    const forwarding_names &Names) {
   // An upstream that is not the expected one has not run the request.
-  bool NotRun = !findHeader(Response.Headers, Names.NotRun).empty() ||
-                Response.Status == StatusMisdirected;
-  if (NotRun)
+  if (Response.Status == StatusMisdirected)
+    return attempt_failed{Attempt.Attempt, attempt_failure::Misdirected};
+  if (!findHeader(Response.Headers, Names.NotRun).empty())
     return attempt_failed{Attempt.Attempt, attempt_failure::Refused};
   std::string_view Id = findHeader(Response.Headers, Names.RequestId);
   if (!Id.empty() && Id != Attempt.RequestId)
--- a/packages/daemon/tests/forwarding_test.cpp
+++ b/packages/daemon/tests/forwarding_test.cpp
@@ -116,7 +116,8 @@
   auto Read = read(std::move(Stated));
   cr_assert(std::get<attempt_failed>(Read).Failure == attempt_failure::Refused);
   Read = read(upstreamResponse(421));
-  cr_assert(std::get<attempt_failed>(Read).Failure == attempt_failure::Refused);
+  cr_assert(std::get<attempt_failed>(Read).Failure ==
+            attempt_failure::Misdirected);
   Read = read(upstreamResponse(503));
   cr_assert(std::get<attempt_answered>(Read).Result.Status == 503);
 }
