Give each process test its own ports; show the users' path in the demo

Ruled out: a process left over (the ports are those of tests that ran). Change: users_path_test moves to 28000 and above; tools/check_ports.sh holds that no first port stands twice, with a test that plants one. The harness moves out of the test (411 lines) into users_path.h and the stand-ins' small_site, which the demo's new program platform_stand_ins shares.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -13,6 +13,10 @@
 step "capacity page"
 python3 tools/capacity.py --check
 
+step "ports of the tests"
+./tools/check_ports.sh
+./tools/check_ports_test.sh
+
 step "boundary of platform/"
 ./tools/check_boundary.sh
 ./tools/check_boundary_test.sh
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # A tour in half a minute: a platform, upstreams and three entry VMs in two
-# data centres as processes on loopback. Ends by itself and cleans up what it
+# data centres as processes on loopback, and a VM on the users' platform. Ends by itself and cleans up what it
 # started. $1: folder of the built programs. DEMO_FIRST_PORT: first of 100
 # ports. Exit code 0 only if every step did what it says.
 set -euo pipefail
@@ -143,4 +143,44 @@
   unset "PIDS[vm-$I]"
 done
 say "all three left with exit code 0"
+step "11. The users' platform: a store, three shards of two upstreams, one VM"
+start stand-ins "$BIN/platform_stand_ins" 127.0.0.1 "$((PORT + 70))"
+STORE_CALLERS=127.0.0.1:$((PORT + 71))
+STORE_PAGES=127.0.0.1:$((PORT + 72))
+cat >"$WORK/vm-4.toml" <<SETTINGS
+[node]
+name = "vm-4"
+data_centre = "dc1"
+[listen]
+callers = "$STORE_CALLERS"
+pages = "$STORE_PAGES"
+peers = "127.0.0.1:$((PORT + 73))"
+[platform]
+address = "127.0.0.1:$((PORT + 70))"
+interface = "store"
+[peers]
+exchange = false
+[callers]
+forward = true
+[upstreams]
+all_data_centres = true
+[leave]
+balancer_lag = "200ms"
+SETTINGS
+start vm-4 "$BIN/masticproxyd" --settings "$WORK/vm-4.toml"
+wait_for_own vm-4 "$STORE_PAGES" /readyz
+say "vm-4 read its routes and upstreams from the store and is ready"
+
+step "12. Its routes: one merges the greatest records, one passes an answer on"
+curl -fsS -H 'host: host' "http://$STORE_CALLERS/merged/1" | tee "$WORK/merged"
+printf '\n'
+curl -fsS -H 'host: host' "http://$STORE_CALLERS/one/1" | tee "$WORK/one"
+printf '\n'
+[ "$(cat "$WORK/merged")" = ccccccccccccccccbbbbbbbbbbbbbbbb ] || fail "not the greatest records"
+[ "$(cat "$WORK/one")" = aaaaaaaaaaaaaaaa ] || fail "not the upstream's answer"
+curl -fsS "http://$STORE_PAGES/metrics" | grep '^masticproxy_request_seconds_count'
+kill -TERM "${PIDS[vm-4]}"
+wait "${PIDS[vm-4]}" || fail "vm-4 left with exit code $?"
+unset "PIDS[vm-4]"
+say "vm-4 left with exit code 0"
 printf '\nThe demo did all it says.\n'
