Let urgent profiles wait in front; split the engine's file

Cause: the priority of a route was read and ordered nothing: at a busy upstream the profiles took turns, so under overload urgent requests waited as long as others. Change: waiting shards stand in lines by rank, the most urgent first, and profiles of one rank take turns as before. Hedges and forwarded requests have files of their own; onUnsuccessful is gone: a failed answer is kept by its run and then treated as any failed attempt. An answered attempt counts as arrived. Test: forwarded_load, lets_the_urgent_ones_go_first_under_overload (fails where profiles take turns).

--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -13,41 +13,6 @@
 /// Shards of one upstream's queue that may start at one look.
 constexpr int WaitingRounds = 8;
 
-/// While no latencies are known, as after a start, an attempt is hedged after
-/// the target latency divided by this, so that the hedge can still be in time.
-constexpr int FirstHedgeDivisor = 3;
-
-/// Statuses from here on say that the upstream failed.
-constexpr unsigned FirstServerError = 500;
-
-/// Statuses of success.
-constexpr unsigned FirstSuccess = 200;
-constexpr unsigned FirstRedirection = 300;
-
-/// The load budget that pays for attempts of \p Run at \p Shard: forwarded
-/// requests have one for each shard, the others share one.
-std::string_view budgetOf(const query_run &Run, const shard &Shard) {
-  return Run.way() ? std::string_view(Shard.Id) : std::string_view();
-}
-
-bool isSuccess(unsigned Status) {
-  return Status >= FirstSuccess && Status < FirstRedirection;
-}
-
-/// Whether \p Result is no result for \p Run. A response that is passed on
-/// whole may well be a refusal of the caller's request.
-bool isUnsuccessful(const query_run &Run, const upstream_result &Result) {
-  if (!Run.way())
-    return false;
-  if (Run.way()->Form == answer_form::Whole)
-    return Result.Status >= FirstServerError;
-  return !isSuccess(Result.Status);
-}
-
-/// An attempt of a forwarded request that has lost is let run to its end: its
-/// connection stays usable, and a new one costs the upstream more.
-bool stopsLosers(const query_run &Run) { return Run.way() == nullptr; }
-
 } // namespace
 
 query_engine::query_engine(const clock &Clock, engine_limits Limits)
@@ -139,22 +104,16 @@
   finishIfOver(Ticket);
 }
 
-void query_engine::giveUpUnserved(query_run &Run) {
-  if (!Run.way())
-    return;
-  for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
-    if (replicasOf(Run, I).empty())
-      Run.giveUp(I);
-}
-
 void query_engine::on(attempt_answered Event) {
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
     return;
   Reach.heard(Record->Upstream);
   query_run *Run = findRun(*Record);
-  if (Run && isUnsuccessful(*Run, Event.Result))
-    return onUnsuccessful(*Record, std::move(Event));
+  if (Run && Run->isFailure(Event.Result)) {
+    Run->keepFailure(std::move(Event.Result));
+    return onFailure(*Record, {Event.Attempt, attempt_failure::Failed});
+  }
   if (Record->Relayed)
     Router.attemptAnswered(Record->Upstream);
   else
@@ -164,26 +123,13 @@
     bool Added = Run->attemptAnswered(Record->Shard, Event.Attempt,
                                       std::move(Event.Result));
     if (Added)
-      cancelOpen(*Run, Record->Shard, stopsLosers(*Run));
+      cancelOpen(*Run, Record->Shard, Run->stopsLosers());
     startShard(Record->Ticket, *Run, Record->Shard);
     finishIfOver(Record->Ticket);
   }
   startWaiting(Waiting.takeFor(Record->Upstream));
 }
 
-void query_engine::onUnsuccessful(const attempt_record &Record,
-                                  attempt_answered Event) {
-  attempt_failure Failure = attempt_failure::Failed;
-  noteEnd(Record, &Failure);
-  Poison.ended(Event.Attempt);
-  query_run *Run = findRun(Record);
-  Run->attemptUnsuccessful(Record.Shard, Event.Attempt,
-                           std::move(Event.Result));
-  startShard(Record.Ticket, *Run, Record.Shard);
-  finishIfOver(Record.Ticket);
-  startWaiting(Waiting.takeFor(Record.Upstream));
-}
-
 void query_engine::on(attempt_failed Event) {
   std::optional<attempt_record> Record = endAttempt(Event.Attempt);
   if (!Record)
@@ -192,10 +138,15 @@
     Upstreams.misdirected(Record->Instance);
   if (Event.Failure == attempt_failure::Refused)
     Reach.heard(Record->Upstream);
-  noteEnd(*Record, &Event.Failure);
+  onFailure(*Record, Event);
+}
+
+void query_engine::onFailure(const attempt_record &Record,
+                             const attempt_failed &Event) {
+  noteEnd(Record, &Event.Failure);
   noteDeath(Event);
-  goOnAfter(*Record, Event);
-  startWaiting(Waiting.takeFor(Record->Upstream));
+  goOnAfter(Record, Event);
+  startWaiting(Waiting.takeFor(Record.Upstream));
 }
 
 void query_engine::goOnAfter(const attempt_record &Record,
@@ -209,7 +160,7 @@
   // A suspect takes the shards that wait first.
   if (Event.UpstreamDied)
     Waiting.add({Record.Ticket, Record.Shard}, replicasOf(*Run, Record.Shard),
-                Run->rules().Name);
+                Run->line());
   else if (!restartIfDue(Record.Ticket, *Run))
     startShard(Record.Ticket, *Run, Record.Shard);
   finishIfOver(Record.Ticket);
@@ -259,18 +210,6 @@
   Deadlines.emplace(Run->second.due(), Run->first);
 }
 
-std::shared_ptr<const route> query_engine::followRoute(query_arrived &Event) {
-  if (!Event.Forwarded)
-    return nullptr;
-  std::shared_ptr<const route> Route =
-      Catalogue->findRoute(Event.Forwarded->Host, Event.Forwarded->Target);
-  if (!Route)
-    return nullptr;
-  Event.Profile = Route->Profile;
-  Event.Index = Indexes.next(*Route);
-  return Route;
-}
-
 std::span<const replica> query_engine::replicasOf(const query_run &Run,
                                                   std::size_t Shard) const {
   return Catalogue->replicasOf(Run.snapshot().Shards[Shard]);
@@ -285,13 +224,12 @@
                               std::size_t Shard) {
   if (!Run.wantsAttempt(Shard))
     return;
-  const shard &Target = Run.snapshot().Shards[Shard];
   std::span<const replica> Replicas = replicasOf(Run, Shard);
   if (Run.way() && Replicas.empty())
     return Run.giveUp(Shard);
   bool Retry = Run.wasAttempted(Shard);
-  if (Retry && !Upstreams.hasRetry(budgetOf(Run, Target)))
-    return Waiting.addForBudget({Ticket, Shard}, Run.rules().Name);
+  if (Retry && !Upstreams.hasRetry(Run.loadBudget(Shard)))
+    return Waiting.addForBudget({Ticket, Shard}, Run.line());
   // Not only where no replica is left: the policy goes on choosing among
   // replicas that all look bad, which costs a retry each.
   if (startRelay(Ticket, Run, Shard))
@@ -301,18 +239,18 @@
   if (!Chosen) {
     // Every replica was tried or is busy: let it ask each of them once more.
     Run.forgetTried(Shard);
-    Waiting.add({Ticket, Shard}, Replicas, Run.rules().Name);
+    Waiting.add({Ticket, Shard}, Replicas, Run.line());
     return;
   }
   if (!Poison.mayStart(Run.fingerprint(), Chosen->Address))
-    return Waiting.add({Ticket, Shard}, Replicas, Run.rules().Name);
+    return Waiting.add({Ticket, Shard}, Replicas, Run.line());
   payFor(Run, Shard, Retry);
   send(Ticket, Run, Shard, *Chosen,
        Retry ? attempt_kind::Retry : attempt_kind::First);
 }
 
 void query_engine::payFor(query_run &Run, std::size_t Shard, bool Retry) {
-  std::string_view Budget = budgetOf(Run, Run.snapshot().Shards[Shard]);
+  std::string_view Budget = Run.loadBudget(Shard);
   if (Retry)
     Upstreams.takeRetry(Budget);
   // A request that starts over does work anew, so it earns nothing.
@@ -365,48 +303,6 @@
     startWaiting(Next);
 }
 
-std::optional<duration>
-query_engine::firstHedgeDelay(const attempt_record &Record) {
-  const query_run *Run = findRun(Record);
-  bool HasTarget = Run && Run->way() && Run->rules().TargetLatency.count() > 0;
-  if (!HasTarget)
-    return std::nullopt;
-  return duration(Run->rules().TargetLatency) / FirstHedgeDivisor;
-}
-
-void query_engine::scheduleHedge(attempt_id Attempt,
-                                 const attempt_record &Record) {
-  std::optional<duration> Delay = Upstreams.hedgeDelay(Record.Index);
-  if (!Delay)
-    Delay = firstHedgeDelay(Record);
-  if (Delay)
-    Hedges.add(Clock.now() + *Delay, Attempt);
-}
-
-void query_engine::hedgeDue() {
-  while (std::optional<attempt_id> Due = Hedges.takeDue(Clock.now())) {
-    auto Found = Attempts.find(*Due);
-    if (Found != Attempts.end() && !Found->second.Cancelled)
-      hedge(*Due, attempt_record(Found->second));
-  }
-}
-
-void query_engine::hedge(attempt_id Attempt, const attempt_record &Record) {
-  query_run *Run = findRun(Record);
-  if (!Run || !Run->mayHedge(Record.Shard))
-    return;
-  const replica *Chosen = Upstreams.chooseHedge(
-      replicasOf(*Run, Record.Shard), Run->tried(Record.Shard), Clock.now());
-  bool Allowed = Chosen && Poison.mayStart(Run->fingerprint(), Chosen->Address);
-  std::string_view Budget =
-      budgetOf(*Run, Run->snapshot().Shards[Record.Shard]);
-  if (Allowed && Upstreams.takeHedge(Budget))
-    return send(Record.Ticket, *Run, Record.Shard, *Chosen,
-                attempt_kind::Hedge);
-  // No replica or no budget at this instant: look again later.
-  scheduleHedge(Attempt, Record);
-}
-
 void query_engine::noteEnd(const attempt_record &Record,
                            const attempt_failure *Failure) {
   time_point Now = Clock.now();
@@ -474,7 +370,7 @@
 void query_engine::finishWith(run_map::iterator Run, query_outcome Outcome) {
   Deadlines.erase({Run->second.due(), Run->first});
   bool Stop =
-      stopsLosers(Run->second) || std::holds_alternative<caller_gone>(Outcome);
+      Run->second.stopsLosers() || std::holds_alternative<caller_gone>(Outcome);
   releaseClaim(Run->second, Outcome);
   std::string RequestId = Run->second.requestId();
   releasePlace(Run->first, Run->second, Outcome);
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -139,7 +139,8 @@
                                       std::size_t Shard) const;
   /// Gives up the shards that no upstream serves, before any is asked.
   void giveUpUnserved(query_run &Run);
-  void onUnsuccessful(const attempt_record &Record, attempt_answered Event);
+  /// Reacts to an attempt that ended without a result.
+  void onFailure(const attempt_record &Record, const attempt_failed &Event);
   /// Answers a run whose time for waiting is over, or lets it wait on.
   void onDue(run_map::iterator Run);
 
--- /dev/null
+++ b/packages/core/masticproxy/src/Query/query_engine_forward.cpp
@@ -0,0 +1,26 @@
+// The part of the query engine that deals with forwarded requests.
+
+#include "masticproxy/src/Query/query_catalogue.h"
+#include "masticproxy/src/Query/query_engine.h"
+
+using namespace masticproxy;
+
+std::shared_ptr<const route> query_engine::followRoute(query_arrived &Event) {
+  if (!Event.Forwarded)
+    return nullptr;
+  std::shared_ptr<const route> Route =
+      Catalogue->findRoute(Event.Forwarded->Host, Event.Forwarded->Target);
+  if (!Route)
+    return nullptr;
+  Event.Profile = Route->Profile;
+  Event.Index = Indexes.next(*Route);
+  return Route;
+}
+
+void query_engine::giveUpUnserved(query_run &Run) {
+  if (!Run.way())
+    return;
+  for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
+    if (replicasOf(Run, I).empty())
+      Run.giveUp(I);
+}
--- /dev/null
+++ b/packages/core/masticproxy/src/Query/query_engine_hedges.cpp
@@ -0,0 +1,55 @@
+// The part of the query engine that deals with second attempts at a shard
+// beside an open one.
+
+#include "masticproxy/src/Query/query_engine.h"
+
+using namespace masticproxy;
+
+namespace {
+
+/// While no latencies are known, as after a start, an attempt is hedged after
+/// the target latency divided by this, so that the hedge can still be in time.
+constexpr int FirstHedgeDivisor = 3;
+
+} // namespace
+
+std::optional<duration>
+query_engine::firstHedgeDelay(const attempt_record &Record) {
+  const query_run *Run = findRun(Record);
+  bool HasTarget = Run && Run->way() && Run->rules().TargetLatency.count() > 0;
+  if (!HasTarget)
+    return std::nullopt;
+  return duration(Run->rules().TargetLatency) / FirstHedgeDivisor;
+}
+
+void query_engine::scheduleHedge(attempt_id Attempt,
+                                 const attempt_record &Record) {
+  std::optional<duration> Delay = Upstreams.hedgeDelay(Record.Index);
+  if (!Delay)
+    Delay = firstHedgeDelay(Record);
+  if (Delay)
+    Hedges.add(Clock.now() + *Delay, Attempt);
+}
+
+void query_engine::hedgeDue() {
+  while (std::optional<attempt_id> Due = Hedges.takeDue(Clock.now())) {
+    auto Found = Attempts.find(*Due);
+    if (Found != Attempts.end() && !Found->second.Cancelled)
+      hedge(*Due, attempt_record(Found->second));
+  }
+}
+
+void query_engine::hedge(attempt_id Attempt, const attempt_record &Record) {
+  query_run *Run = findRun(Record);
+  if (!Run || !Run->mayHedge(Record.Shard))
+    return;
+  const replica *Chosen = Upstreams.chooseHedge(
+      replicasOf(*Run, Record.Shard), Run->tried(Record.Shard), Clock.now());
+  bool Allowed = Chosen && Poison.mayStart(Run->fingerprint(), Chosen->Address);
+  std::string_view Budget = Run->loadBudget(Record.Shard);
+  if (Allowed && Upstreams.takeHedge(Budget))
+    return send(Record.Ticket, *Run, Record.Shard, *Chosen,
+                attempt_kind::Hedge);
+  // No replica or no budget at this instant: look again later.
+  scheduleHedge(Attempt, Record);
+}
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -7,6 +7,15 @@
 
 using namespace masticproxy;
 
+namespace {
+
+/// Statuses of success, and the first that says that the upstream failed.
+constexpr unsigned FirstSuccess = 200;
+constexpr unsigned FirstRedirection = 300;
+constexpr unsigned FirstServerError = 500;
+
+} // namespace
+
 query_run::query_run(query_arrived NewRequest, profile NewProfile,
                      std::shared_ptr<const index_snapshot> NewSnapshot,
                      time_point NewDeadline)
@@ -54,15 +63,22 @@
 bool query_run::attemptAnswered(std::size_t Shard, attempt_id Attempt,
                                 upstream_result Result) {
   closeAttempt(Shard, Attempt);
+  Shards[Shard].Arrived = true;
   Shards[Shard].MayHaveRun = true;
   ++Shards[Shard].Ran;
   return Partial.add(std::move(Result));
 }
 
-void query_run::attemptUnsuccessful(std::size_t Shard, attempt_id Attempt,
-                                    upstream_result Result) {
-  attemptFailed(Shard, Attempt, attempt_failure::Failed);
-  if (Route && Route->Form == answer_form::Whole)
+bool query_run::isFailure(const upstream_result &Result) const {
+  if (!Route)
+    return false;
+  if (Route->Form == answer_form::Whole)
+    return Result.Status >= FirstServerError;
+  return Result.Status < FirstSuccess || Result.Status >= FirstRedirection;
+}
+
+void query_run::keepFailure(upstream_result Result) {
+  if (Route->Form == answer_form::Whole)
     Failure = shard_result{std::move(Result.Shard), std::move(Result.Body),
                            Result.Status, std::move(Result.Signature),
                            std::move(Result.Headers)};
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -10,12 +10,14 @@
 #include "masticproxy/src/Query/query_outcome.h"
 #include "masticproxy/src/Query/route.h"
 #include "masticproxy/src/Query/run_claim.h"
+#include "masticproxy/src/Routing/waiting_list.h"
 
 #include <algorithm>
 #include <memory>
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -53,6 +55,8 @@
   const std::shared_ptr<const std::string> &body() const { return Body; }
   query_fingerprint fingerprint() const { return Fingerprint; }
   const profile &rules() const { return Profile; }
+  /// \returns the line in which its shards wait.
+  waiting_line line() const { return {Profile.Name, Profile.Priority}; }
   time_point deadline() const { return Deadline; }
 
   /// \returns the queries whose latencies are like this one's.
@@ -60,6 +64,18 @@
     return Route ? Profile.Name : Request.Index;
   }
 
+  /// \returns the load budget that pays for attempts at a shard: forwarded
+  /// requests have one for each shard, the others share one.
+  std::string_view loadBudget(std::size_t Shard) const {
+    return Route ? std::string_view(Snapshot->Shards[Shard].Id)
+                 : std::string_view();
+  }
+
+  /// \returns whether upstreams are told to stop attempts that are no longer
+  /// needed. Those of a forwarded request run to their end: their connections
+  /// stay usable, and a new one costs the upstream more.
+  bool stopsLosers() const { return !Route; }
+
   /// Sets when an answer of the least coverage is given, without waiting on.
   void setAnswerBy(time_point Time) { AnswerBy = std::min(Time, Deadline); }
 
@@ -117,10 +133,13 @@
   bool attemptAnswered(std::size_t Shard, attempt_id Attempt,
                        upstream_result Result);
 
-  /// Notes that the upstream ran an attempt and answered with a failure, which
-  /// the caller gets if nothing better comes.
-  void attemptUnsuccessful(std::size_t Shard, attempt_id Attempt,
-                           upstream_result Failure);
+  /// \returns whether \p Result is no result for this request. A response
+  /// that is passed on whole may well be a refusal of the caller's request.
+  bool isFailure(const upstream_result &Result) const;
+
+  /// Keeps a failure that an upstream answered with; the caller gets it if
+  /// nothing better comes.
+  void keepFailure(upstream_result Result);
 
   /// Notes that an attempt ended without a result.
   void attemptFailed(std::size_t Shard, attempt_id Attempt,
--- a/packages/core/masticproxy/src/Routing/waiting_list.cpp
+++ b/packages/core/masticproxy/src/Routing/waiting_list.cpp
@@ -19,16 +19,16 @@
 }
 
 void waiting_list::add(waiting_shard Shard, std::span<const replica> Replicas,
-                       std::string_view Profile) {
+                       const waiting_line &Line) {
   if (Replicas.empty())
     return;
   std::uint64_t Number = renew(Shard);
   for (const replica &Replica : Replicas)
-    push(ByUpstream[Replica.Address], {Shard, Number}, Profile);
+    push(ByUpstream[Replica.Address], {Shard, Number}, Line);
 }
 
-void waiting_list::addForBudget(waiting_shard Shard, std::string_view Profile) {
-  push(Budget, {Shard, renew(Shard)}, Profile);
+void waiting_list::addForBudget(waiting_shard Shard, const waiting_line &Line) {
+  push(Budget, {Shard, renew(Shard)}, Line);
 }
 
 std::optional<waiting_shard> waiting_list::takeFor(std::string_view Upstream) {
@@ -63,8 +63,8 @@
 }
 
 void waiting_list::push(queue &Queue, const entry &Entry,
-                        std::string_view Profile) {
-  Queue.push(Profile, Entry);
+                        const waiting_line &Line) {
+  Queue.push(Line.Profile, Entry, Line.Priority);
   // Entries taken through another queue are dropped when they come first. A
   // queue that is never served would keep them, so it is cleaned when they
   // are the larger part.
--- a/packages/core/masticproxy/src/Routing/waiting_list.h
+++ b/packages/core/masticproxy/src/Routing/waiting_list.h
@@ -26,9 +26,16 @@
   auto operator<=>(const waiting_shard &) const = default;
 };
 
+/// \brief The line that a shard waits in.
+struct waiting_line {
+  std::string_view Profile;
+  /// Rank of the profile; 0 is the most urgent.
+  unsigned Priority = 0;
+};
+
 /// \brief Shards that wait for a place at one of their replicas, or for the
-/// load budget; in order of arrival within each profile, and the profiles take
-/// turns.
+/// load budget; the most urgent first, in order of arrival within each
+/// profile. Profiles of one rank take turns.
 ///
 /// A shard stands in the queue of each of its replicas, and counts once. The
 /// event of one upstream looks at the head of that upstream's queue only.
@@ -37,10 +44,10 @@
   /// Adds \p Shard, which waits for any of \p Replicas; instead of an earlier
   /// wait of the same shard, if there is one.
   void add(waiting_shard Shard, std::span<const replica> Replicas,
-           std::string_view Profile = {});
+           const waiting_line &Line = {});
 
   /// Adds \p Shard, which waits for the load budget.
-  void addForBudget(waiting_shard Shard, std::string_view Profile = {});
+  void addForBudget(waiting_shard Shard, const waiting_line &Line = {});
 
   /// Ends the wait of \p Shard, if it waits.
   void drop(waiting_shard Shard) { Live.erase(Shard); }
@@ -74,7 +81,7 @@
   };
 
   std::uint64_t renew(waiting_shard Shard);
-  void push(queue &Queue, const entry &Entry, std::string_view Profile);
+  void push(queue &Queue, const entry &Entry, const waiting_line &Line);
   bool isLive(const entry &Entry) const;
   std::optional<waiting_shard> takeFirst(queue &Queue);
 
--- a/packages/core/tests/forwarded_load_test.cpp
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -237,3 +237,21 @@
   cr_assert(Hedges.size() == 1 && Hedges[0].Shard == First[0].Shard);
   cr_assert(outcomeIn<answered>(World.answer(Hedges[0])) != nullptr);
 }
+
+// More requests than places, of an urgent profile and a less urgent one.
+Test(forwarded_load, lets_the_urgent_ones_go_first_under_overload) {
+  forwarding_world World(1);
+  constexpr query_ticket Places = 9;
+  std::vector<send_attempt> Open;
+  for (query_ticket Ticket = 1; Ticket <= 3 * Places; ++Ticket)
+    for (const send_attempt &Sent : attemptsIn(World.arrive(Ticket, "whole")))
+      Open.push_back(Sent);
+  cr_assert(Open.size() == Places);
+  for (query_ticket Ticket = 101; Ticket <= 100 + Places; ++Ticket)
+    cr_assert(attemptsIn(World.arrive(Ticket, "urgent")).empty());
+  for (const send_attempt &Attempt : Open) {
+    auto Next = attemptsIn(World.answer(Attempt));
+    cr_assert(Next.size() == 1);
+    cr_assert(Next[0].Forwarded->Target.starts_with("/urgent/"));
+  }
+}
--- a/packages/core/tests/forwarding_world.h
+++ b/packages/core/tests/forwarding_world.h
@@ -11,8 +11,8 @@
 
 namespace masticproxy {
 
-/// \brief An engine with a route that merges some shards and one that passes
-/// the answer of a single upstream on.
+/// \brief An engine with a route that merges some shards, and two that pass
+/// the answer of a single upstream on, one of them more urgent.
 struct forwarding_world {
   static constexpr std::chrono::milliseconds Wait{1000};
   static constexpr std::chrono::milliseconds Target{100};
@@ -23,8 +23,10 @@
                             double Coverage = 0.75)
       : Engine(Clock, limits()) {
     Configuration.Version = 1;
-    addRoute("merged", answer_form::GreatestRecords, Coverage);
-    addRoute("whole", answer_form::Whole, 1.0);
+    addRoute("merged", "merged", answer_form::GreatestRecords, Coverage);
+    addRoute("whole", "whole", answer_form::Whole, 1.0);
+    Configuration.Profiles.back().Priority = 1;
+    addRoute("urgent", "whole", answer_form::Whole, 1.0);
     index_layout Merged{"merged", {}};
     for (unsigned S = 0; S < Shards; ++S) {
       std::string Shard = "s" + std::to_string(S);
@@ -103,7 +105,8 @@
   std::vector<upstream_entry> Upstreams;
 
 private:
-  void addRoute(const std::string &Name, answer_form Form, double Coverage) {
+  void addRoute(const std::string &Name, const std::string &Index,
+                answer_form Form, double Coverage) {
     profile Profile;
     Profile.Name = Name;
     Profile.Wait = Wait;
@@ -117,7 +120,7 @@
     Route.Host = "host";
     Route.PathPrefix = "/" + Name + "/";
     Route.Profile = Name;
-    Route.Indexes = {{Name, 1.0}};
+    Route.Indexes = {{Index, 1.0}};
     Route.Form = Form;
     Route.Records = 5;
     Configuration.Routes.push_back(Route);
