Count times of requests and attempts; hold the operator's header limits

Cause: the metrics address had counters only, so a slow profile or upstream did not show there; request_log and attempt_log each kept a map of the open attempts; limits for headers were read from the configuration and not held; text was put into lower case in four places. Change: counter_registry also keeps histograms: request_seconds by profile and outcome, attempt_seconds by end. One map of open attempts, of attempt_log, which tells what ended.

--- a/fuzz/fuzz_request.cpp
+++ b/fuzz/fuzz_request.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 /// Below the fuzzer's longest input, so that it is met.
+constexpr std::size_t HeaderBytes = 16384;
 constexpr std::size_t BodyBytes = 64;
 
 struct connection_input {
@@ -42,7 +43,7 @@
 /// that gives \p FirstPiece bytes at first.
 error_code readOne(internal::http_request_parser &Parser,
                    std::string_view &Bytes, std::size_t FirstPiece) {
-  internal::setLimits(Parser, BodyBytes);
+  internal::setLimits(Parser, HeaderBytes, BodyBytes);
   Parser.eager(true);
   error_code Error;
   std::size_t Received = std::min(FirstPiece, Bytes.size());
--- a/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
@@ -28,45 +28,46 @@
 }
 
 void attempt_log::sent(const send_attempt &Command) {
-  begin("attempt_sent",
-        {Command.RequestId,
-         {Command.Attempt, Command.Shard, Command.Upstream,
-          std::string(toString(Command.Kind)), /*End=*/"", /*Profile=*/""}});
+  begin("attempt_sent", Command.RequestId,
+        {Command.Attempt, Command.Shard, Command.Upstream,
+         std::string(toString(Command.Kind)), /*End=*/"", /*Profile=*/""});
 }
 
 void attempt_log::sent(const send_relay &Command) {
   const relay_request &Request = Command.Request;
-  begin("relay_sent", {Request.RequestId,
-                       {Request.Attempt, Request.Shard, Command.Vm, "relay",
-                        /*End=*/"", /*Profile=*/""}});
+  begin("relay_sent", Request.RequestId,
+        {Request.Attempt, Request.Shard, Command.Vm, "relay", /*End=*/"",
+         /*Profile=*/""});
 }
 
-void attempt_log::begin(std::string_view Kind, open_attempt Attempt) {
-  const event_facts &Facts = Attempt.Facts;
-  Events.add(Kind, Attempt.RequestId, Facts.Shard + " to " + Facts.Upstream,
-             Facts);
+void attempt_log::begin(std::string_view Kind, std::string RequestId,
+                        event_facts Facts) {
+  Events.add(Kind, RequestId, Facts.Shard + " to " + Facts.Upstream, Facts);
   attempt_id Id = Facts.Attempt;
-  Open.insert_or_assign(Id, std::move(Attempt));
+  Open.insert_or_assign(
+      Id, open_attempt{std::move(RequestId), std::move(Facts), Clock.now()});
 }
 
 void attempt_log::cancelled(attempt_id Attempt) {
   end(Attempt, "attempt_cancelled", "cancelled");
 }
 
-void attempt_log::ended(const engine_event &Event) {
+std::optional<ended_attempt> attempt_log::ended(const engine_event &Event) {
   if (auto *Answered = std::get_if<attempt_answered>(&Event))
-    end(Answered->Attempt, "attempt_answered", "answered");
-  else if (auto *Failed = std::get_if<attempt_failed>(&Event))
-    end(Failed->Attempt, "attempt_failed", failureName(*Failed));
-  else if (auto *Relay = std::get_if<relay_failed>(&Event))
-    end(Relay->Attempt, "attempt_failed", toString(Relay->End));
+    return end(Answered->Attempt, "attempt_answered", "answered");
+  if (auto *Failed = std::get_if<attempt_failed>(&Event))
+    return end(Failed->Attempt, "attempt_failed", failureName(*Failed));
+  if (auto *Relay = std::get_if<relay_failed>(&Event))
+    return end(Relay->Attempt, "attempt_failed", toString(Relay->End));
+  return std::nullopt;
 }
 
-void attempt_log::end(attempt_id Attempt, std::string_view Kind,
-                      std::string_view End) {
+std::optional<ended_attempt> attempt_log::end(attempt_id Attempt,
+                                              std::string_view Kind,
+                                              std::string_view End) {
   auto Found = Open.find(Attempt);
   if (Found == Open.end())
-    return;
+    return std::nullopt;
   open_attempt Ended = std::move(Found->second);
   Open.erase(Found);
   Ended.Facts.End = End;
@@ -74,4 +75,6 @@
              Ended.Facts.End + ", " + Ended.Facts.Shard + " at " +
                  Ended.Facts.Upstream,
              Ended.Facts);
+  return ended_attempt{std::move(Ended.RequestId), std::move(Ended.Facts),
+                       Clock.now() - Ended.SentAt};
 }
--- a/packages/daemon/masticproxy/src/Daemon/attempt_log.h
+++ b/packages/daemon/masticproxy/src/Daemon/attempt_log.h
@@ -1,10 +1,12 @@
 #ifndef MASTICPROXY_DAEMON_ATTEMPT_LOG_H
 #define MASTICPROXY_DAEMON_ATTEMPT_LOG_H
 
+#include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Net/timeline_event.h"
 #include "masticproxy/src/Query/engine_event.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -17,10 +19,19 @@
 struct send_attempt;
 struct send_relay;
 
+/// \brief An attempt that has ended.
+struct ended_attempt {
+  std::string RequestId;
+  event_facts Facts;
+  /// From its sending to its end.
+  duration Took{0};
+};
+
 /// \brief Writes the beginning and the end of each attempt to the time line.
 class attempt_log {
 public:
-  explicit attempt_log(event_log &Events) : Events(Events) {}
+  attempt_log(const clock &Clock, event_log &Events)
+      : Clock(Clock), Events(Events) {}
 
   /// Notes that an attempt begins.
   void sent(const send_attempt &Command);
@@ -30,8 +41,8 @@
   /// with later is not noted.
   void cancelled(attempt_id Attempt);
 
-  /// Notes \p Event where it ends an attempt.
-  void ended(const engine_event &Event);
+  /// Notes \p Event where it ends an attempt. \returns that attempt.
+  std::optional<ended_attempt> ended(const engine_event &Event);
 
   /// \returns the attempts that have begun and not ended.
   std::size_t open() const { return Open.size(); }
@@ -40,11 +51,14 @@
   struct open_attempt {
     std::string RequestId;
     event_facts Facts;
+    time_point SentAt{};
   };
 
-  void begin(std::string_view Kind, open_attempt Attempt);
-  void end(attempt_id Attempt, std::string_view Kind, std::string_view End);
+  void begin(std::string_view Kind, std::string RequestId, event_facts Facts);
+  std::optional<ended_attempt> end(attempt_id Attempt, std::string_view Kind,
+                                   std::string_view End);
 
+  const clock &Clock;
   event_log &Events;
   /// As many as the engine has under way, or fewer.
   std::unordered_map<attempt_id, open_attempt> Open;
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -178,10 +178,13 @@
 }
 
 void callers_thread::applyLimits() {
-  caller_limits Limits = Status.get()->CallerLimits;
-  Server->setBodyBytes(Limits.BodyBytes);
+  const caller_limits Told = Status.get()->CallerLimits;
+  http_server_limits &Limits = Server->limits();
+  Limits.HeaderBytes = Told.HeaderBytes;
+  Limits.BodyBytes = Told.BodyBytes;
+  Limits.HeaderTimeout = Told.HeaderTimeout;
   // A caller must never find a connection closed that it may still use.
-  Server->setIdleTimeout(Limits.IdleTimeout + IdleMargin);
+  Limits.IdleTimeout = Told.IdleTimeout + IdleMargin;
 }
 
 http_response callers_thread::handleRead(const http_request &Request) const {
--- a/packages/daemon/masticproxy/src/Daemon/end_to_end_headers.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/end_to_end_headers.cpp
@@ -1,10 +1,10 @@
 #include "masticproxy/src/Daemon/end_to_end_headers.h"
 
+#include "masticproxy/src/Base/ascii_case.h"
 #include "masticproxy/src/Base/comma_list.h"
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 using namespace masticproxy;
 
@@ -22,12 +22,9 @@
                                                        "content-length",
                                                        "expect"};
 
-std::string trimmedLowerCase(std::string_view Text) {
-  std::string Result;
-  for (unsigned char C : Text)
-    if (!std::isspace(C))
-      Result.push_back(static_cast<char>(std::tolower(C)));
-  return Result;
+std::string withoutBlanks(std::string Text) {
+  std::erase_if(Text, [](char C) { return C == ' ' || C == '\t'; });
+  return Text;
 }
 
 /// The fields that the message itself names as those of one connection.
@@ -36,7 +33,7 @@
   for (const auto &[Name, Value] : Headers)
     if (Name == "connection")
       for (const std::string &Part : splitCommaList(Value))
-        Names.push_back(trimmedLowerCase(Part));
+        Names.push_back(lowerCase(withoutBlanks(Part)));
   return Names;
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -10,11 +10,19 @@
 
 using namespace masticproxy;
 
+namespace {
+
+/// Profiles with histograms of their own; operators make new ones all the
+/// time, and a process lives for months.
+constexpr std::size_t MaxProfilesCounted = 64;
+
+} // namespace
+
 engine_thread::engine_thread(const clock &Clock, engine_limits Limits,
                              counter_registry &Counters, event_log &Events,
                              effect_log &Effects)
     : Engine(Clock, std::move(Limits)), Counters(Counters), Events(Events),
-      Attempts(Events), Requests(Clock), Effects(Effects),
+      Attempts(Clock, Events), Requests(Clock), Effects(Effects),
       Timer(Loop.context()), Queries(RequestRingCapacity,
                                      [this] {
                                        Loop.post([this] {
@@ -74,8 +82,7 @@
 }
 
 void engine_thread::handle(engine_event Event) {
-  Attempts.ended(Event);
-  Requests.ended(Event);
+  noteEnd(Event);
   for (engine_command &Command : Engine.handle(std::move(Event)))
     std::visit([this](auto C) { carryOut(std::move(C)); }, std::move(Command));
   Running.store(Engine.running());
@@ -83,6 +90,17 @@
   schedule();
 }
 
+void engine_thread::noteEnd(const engine_event &Event) {
+  std::optional<ended_attempt> Ended = Attempts.ended(Event);
+  if (!Ended)
+    return;
+  bool Answered = std::holds_alternative<attempt_answered>(Event);
+  Counters.spans("attempt_seconds", "end=\"" + Ended->Facts.End + "\"")
+      .add(Ended->Took);
+  if (!Answered)
+    Requests.ended(*Ended);
+}
+
 void engine_thread::carryOut(const send_attempt &Command) {
   std::string Label = "kind=\"" + std::string(toString(Command.Kind)) + "\"";
   Counters.get("attempts_total", Label).add();
@@ -131,12 +149,26 @@
   Counters.get("outcomes_total", "outcome=\"" + std::string(Name) + "\"").add();
   Events.add("outcome", Command.RequestId, Name);
   Effects.ended(Command.Account, Command.Outcome);
+  noteOutcome(Command);
   Requests.delivered(Command);
   // The callers' thread never waits for this one, so its ring drains.
   while (!Callers->push(Command))
     std::this_thread::yield();
 }
 
+void engine_thread::noteOutcome(const deliver_outcome &Command) {
+  const query_account &Account = Command.Account;
+  if (!Account.TakenOn)
+    return;
+  bool Known = ProfilesCounted.contains(Account.Profile) ||
+               (ProfilesCounted.size() < MaxProfilesCounted &&
+                ProfilesCounted.insert(Account.Profile).second);
+  std::string Labels = "profile=\"" + (Known ? Account.Profile : "others") +
+                       "\",outcome=\"" + std::string(codeOf(Command.Outcome)) +
+                       "\"";
+  Counters.spans("request_seconds", Labels).add(Account.Took);
+}
+
 void engine_thread::carryOut(const send_relay &Command) {
   Counters.get("relay_attempts_total").add();
   Attempts.sent(Command);
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -10,6 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <set>
+#include <string>
 
 namespace masticproxy {
 
@@ -68,6 +70,10 @@
   void take(engine_update Update);
   void schedule();
   void noteReach();
+  /// Writes and counts an attempt that \p Event ends.
+  void noteEnd(const engine_event &Event);
+  /// Counts how long a request took.
+  void noteOutcome(const deliver_outcome &Command);
 
   loop_thread Loop;
   query_engine Engine;
@@ -76,6 +82,7 @@
   attempt_log Attempts;
   request_log Requests;
   effect_log &Effects;
+  std::set<std::string> ProfilesCounted;
   boost::asio::steady_timer Timer;
   std::optional<time_point> TimerSetFor;
   query_ring Queries;
--- a/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
@@ -1,12 +1,11 @@
 #include "masticproxy/src/Daemon/forwarding.h"
 
+#include "masticproxy/src/Base/ascii_case.h"
 #include "masticproxy/src/Daemon/end_to_end_headers.h"
 #include "masticproxy/src/Daemon/outcome_response.h"
 #include "masticproxy/src/Net/http_status.h"
 #include "masticproxy/src/Query/greatest_records.h"
 
-#include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <cstdio>
 
@@ -27,11 +26,7 @@
   // An IPv6 number has colons within its brackets.
   bool HasPort =
       Colon != std::string_view::npos && Field.find(']', Colon) == Field.npos;
-  std::string Host(HasPort ? Field.substr(0, Colon) : Field);
-  std::transform(Host.begin(), Host.end(), Host.begin(), [](unsigned char C) {
-    return static_cast<char>(std::tolower(C));
-  });
-  return Host;
+  return lowerCase(std::string(HasPort ? Field.substr(0, Colon) : Field));
 }
 
 std::optional<std::chrono::milliseconds> milliseconds(std::string_view Text) {
--- a/packages/daemon/masticproxy/src/Daemon/request_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/request_log.cpp
@@ -13,6 +13,10 @@
 constexpr unsigned LineBurst = 100;
 constexpr std::chrono::milliseconds LineInterval{20};
 
+long long milliseconds(duration Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
 std::string joined(const std::vector<std::string> &Words) {
   std::string Text;
   for (const std::string &Word : Words)
@@ -36,14 +40,11 @@
 } // namespace
 
 request_log::request_log(const clock &Clock)
-    : Clock(Clock), Budget(Clock, LineInterval, LineBurst) {}
+    : Budget(Clock, LineInterval, LineBurst) {}
 
 void request_log::sent(const send_attempt &Command) {
-  if (!Command.Forwarded)
-    return;
-  Open.emplace(Command.Attempt, open_attempt{Command.RequestId, Command.Shard,
-                                             Command.Upstream, Clock.now()});
-  if (Command.Kind == attempt_kind::First)
+  bool First = Command.Kind == attempt_kind::First;
+  if (First || !Command.Forwarded)
     return;
   write("event=attempt_sent request=" + Command.RequestId +
         " kind=" + std::string(toString(Command.Kind)) +
@@ -51,23 +52,11 @@
         " instance=" + Command.Instance + " version=" + Command.Snapshot);
 }
 
-void request_log::ended(const engine_event &Event) {
-  if (auto *Answered = std::get_if<attempt_answered>(&Event)) {
-    Open.erase(Answered->Attempt);
-    return;
-  }
-  auto *Failed = std::get_if<attempt_failed>(&Event);
-  if (!Failed)
-    return;
-  auto Found = Open.find(Failed->Attempt);
-  if (Found == Open.end())
-    return;
-  const open_attempt &Ended = Found->second;
-  write("event=attempt_failed request=" + Ended.RequestId +
-        " shard=" + Ended.Shard + " upstream=" + Ended.Upstream +
-        " end=" + std::string(failureName(*Failed)) + " after_ms=" +
-        std::to_string(milliseconds(Clock.now() - Ended.SentAt)));
-  Open.erase(Found);
+void request_log::ended(const ended_attempt &Attempt) {
+  const event_facts &Facts = Attempt.Facts;
+  write("event=attempt_failed request=" + Attempt.RequestId + " shard=" +
+        Facts.Shard + " upstream=" + Facts.Upstream + " end=" + Facts.End +
+        " after_ms=" + std::to_string(milliseconds(Attempt.Took)));
 }
 
 void request_log::delivered(const deliver_outcome &Command) {
@@ -94,7 +83,3 @@
   logInfo(LeftOut == 0 ? Line : Line + " left_out=" + std::to_string(LeftOut));
   LeftOut = 0;
 }
-
-long long request_log::milliseconds(duration Span) const {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
-}
--- a/packages/daemon/tests/attempt_log_test.cpp
+++ b/packages/daemon/tests/attempt_log_test.cpp
@@ -18,7 +18,7 @@
   os_clock Clock;
   hybrid_clock Stamps{Clock};
   event_log Events{Stamps, 100};
-  attempt_log Attempts{Events};
+  attempt_log Attempts{Clock, Events};
 
   void send(attempt_id Attempt, attempt_kind Kind = attempt_kind::First) {
     send_attempt Command;
--- a/packages/net/masticproxy/src/Net/http_convert.h
+++ b/packages/net/masticproxy/src/Net/http_convert.h
@@ -1,14 +1,12 @@
 #ifndef MASTICPROXY_NET_HTTP_CONVERT_H
 #define MASTICPROXY_NET_HTTP_CONVERT_H
 
+#include "masticproxy/src/Base/ascii_case.h"
 #include "masticproxy/src/Net/http_message.h"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <algorithm>
-#include <cctype>
-
 namespace masticproxy::internal {
 
 using beast_request =
@@ -20,11 +18,8 @@
 template <typename Message> http_headers headersOf(const Message &From) {
   http_headers Headers;
   for (const auto &Field : From) {
-    std::string Name(Field.name_string());
-    std::transform(Name.begin(), Name.end(), Name.begin(), [](unsigned char C) {
-      return static_cast<char>(std::tolower(C));
-    });
-    Headers.emplace_back(std::move(Name), std::string(Field.value()));
+    Headers.emplace_back(lowerCase(std::string(Field.name_string())),
+                         std::string(Field.value()));
   }
   return Headers;
 }
--- a/packages/net/masticproxy/src/Net/http_request_parser.cpp
+++ b/packages/net/masticproxy/src/Net/http_request_parser.cpp
@@ -1,12 +1,12 @@
 #include "masticproxy/src/Net/http_request_parser.h"
 
+#include "masticproxy/src/Net/http_status.h"
+
 using namespace masticproxy;
 namespace http = boost::beast::http;
 
 namespace {
 
-constexpr std::uint32_t MaxHeaderBytes = 16384;
-
 http_response rejection(unsigned Status, std::string_view Code,
                         std::string_view Message) {
   http_response Response;
@@ -20,9 +20,15 @@
 
 } // namespace
 
-void internal::setLimits(http_request_parser &Parser, std::size_t BodyBytes) {
+void internal::setLimits(http_request_parser &Parser, std::size_t HeaderBytes,
+                         std::size_t BodyBytes) {
   Parser.body_limit(BodyBytes);
-  Parser.header_limit(MaxHeaderBytes);
+  Parser.header_limit(static_cast<std::uint32_t>(HeaderBytes));
+}
+
+std::optional<http_response> internal::lateHeader() {
+  return rejection(StatusRequestTimeout, "header_timeout",
+                   "the header did not come in time");
 }
 
 std::optional<http_response>
@@ -30,8 +36,7 @@
   if (Error == http::error::body_limit)
     return rejection(413, "body_too_large", "the body is above the limit");
   if (Error == http::error::header_limit)
-    return rejection(431, "header_too_large",
-                     "the header is above 16384 bytes");
+    return rejection(431, "header_too_large", "the header is above the limit");
   bool Malformed =
       Error && Error.category() ==
                    http::make_error_code(http::error::bad_version).category();
--- a/packages/net/masticproxy/src/Net/http_request_parser.h
+++ b/packages/net/masticproxy/src/Net/http_request_parser.h
@@ -15,8 +15,12 @@
 using http_request_parser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-/// Bounds the header, and the body at \p BodyBytes.
-void setLimits(http_request_parser &Parser, std::size_t BodyBytes);
+/// Bounds the header at \p HeaderBytes and the body at \p BodyBytes.
+void setLimits(http_request_parser &Parser, std::size_t HeaderBytes,
+               std::size_t BodyBytes);
+
+/// \returns the response to a header that took too long.
+std::optional<http_response> lateHeader();
 
 /// \returns the response to bytes that are no request or one above the limits;
 /// nothing where \p Error means that the connection ended.
--- a/packages/net/masticproxy/src/Net/http_server.cpp
+++ b/packages/net/masticproxy/src/Net/http_server.cpp
@@ -81,13 +81,7 @@
   State->Rules->CallerGone = std::move(Gone);
 }
 
-void http_server::setIdleTimeout(std::chrono::milliseconds Timeout) {
-  State->Rules->Limits.IdleTimeout = Timeout;
-}
-
-void http_server::setBodyBytes(std::size_t Bytes) {
-  State->Rules->Limits.BodyBytes = Bytes;
-}
+http_server_limits &http_server::limits() { return State->Rules->Limits; }
 
 void http_server::endConnectionsAfterResponse() {
   State->EndAfterResponse = true;
@@ -106,10 +100,6 @@
   State->each([](internal::http_session &S) { S.close(); });
 }
 
-void http_server::setSetupDelay(std::chrono::milliseconds Delay) {
-  State->Rules->Limits.SetupDelay = Delay;
-}
-
 std::uint16_t http_server::port() const {
   return State->Acceptor.local_endpoint().port();
 }
--- a/packages/net/masticproxy/src/Net/http_server.h
+++ b/packages/net/masticproxy/src/Net/http_server.h
@@ -16,12 +16,15 @@
 
 /// \brief Bounds of an HTTP server.
 struct http_server_limits {
-  /// Longest body of a request, in bytes.
+  /// Longest header and longest body of a request, in bytes.
+  std::size_t HeaderBytes = 16384;
   std::size_t BodyBytes = 65536;
   /// Connections open at a time; one more is closed at once.
   std::size_t Connections = 4096;
   /// Silence after which a connection is closed.
   std::chrono::milliseconds IdleTimeout{60000};
+  /// Longest time from the first byte of a header to its last.
+  std::chrono::milliseconds HeaderTimeout{10000};
   /// Time that a new connection waits before it is read.
   std::chrono::milliseconds SetupDelay{0};
 };
@@ -49,11 +52,8 @@
   /// response to the request with that serial number.
   void onCallerGone(std::function<void(std::uint64_t)> Gone);
 
-  /// Sets the silence after which a connection is closed.
-  void setIdleTimeout(std::chrono::milliseconds Timeout);
-
-  /// Sets the longest body of a request, in bytes.
-  void setBodyBytes(std::size_t Bytes);
+  /// \returns the bounds; a change is in force from the next request on.
+  http_server_limits &limits();
 
   /// Goes on serving, and ends each connection after its next response.
   void endConnectionsAfterResponse();
@@ -65,9 +65,6 @@
   /// Closes all connections at once.
   void closeAll();
 
-  /// Sets the delay of new connections.
-  void setSetupDelay(std::chrono::milliseconds Delay);
-
   /// \returns the port it listens on.
   std::uint16_t port() const;
 
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -17,12 +17,15 @@
 constexpr std::size_t MaxRejectedBytes = 16U << 20U;
 constexpr std::size_t RejectedChunkBytes = 65536;
 
+/// Read at first; headers are shorter, and each connection keeps so much.
+constexpr std::size_t FirstReadBytes = 4096;
+
 } // namespace
 
 http_session::http_session(boost::asio::ip::tcp::socket Socket,
                            std::shared_ptr<session_rules> Rules)
     : Stream(std::move(Socket)), Rules(std::move(Rules)),
-      SetupTimer(Stream.get_executor()) {
+      Timer(Stream.get_executor()) {
   setTcpOptions(Stream.socket());
 }
 
@@ -31,8 +34,8 @@
 void http_session::start() {
   if (Rules->Limits.SetupDelay.count() == 0)
     return read();
-  SetupTimer.expires_after(Rules->Limits.SetupDelay);
-  SetupTimer.async_wait(
+  Timer.expires_after(Rules->Limits.SetupDelay);
+  Timer.async_wait(
       [Self = shared_from_this()](const boost::system::error_code &Error) {
         if (!Error)
           Self->read();
@@ -54,7 +57,58 @@
 
 void http_session::read() {
   Parser.emplace();
-  setLimits(*Parser, Rules->Limits.BodyBytes);
+  setLimits(*Parser, Rules->Limits.HeaderBytes, Rules->Limits.BodyBytes);
+  HeaderLate = false;
+  // A caller may send its next request early.
+  if (Buffer.size() > 0)
+    return parseBuffered();
+  Stream.expires_after(Rules->Limits.IdleTimeout);
+  Stream.async_read_some(
+      Buffer.prepare(FirstReadBytes),
+      [Self = shared_from_this()](const boost::system::error_code &Error,
+                                  std::size_t Bytes) {
+        if (Error)
+          return Self->close();
+        Self->Buffer.commit(Bytes);
+        Self->parseBuffered();
+      });
+}
+
+void http_session::parseBuffered() {
+  boost::system::error_code Error;
+  Parser->eager(true);
+  Buffer.consume(Parser->put(Buffer.data(), Error));
+  bool HeaderMissing = Error == http::error::need_more;
+  if (HeaderMissing)
+    return readHeader();
+  // Most requests come whole, so that no further read is needed.
+  if (Error || Parser->is_done())
+    return onRead(Error);
+  readBody();
+}
+
+void http_session::readHeader() {
+  Stream.expires_never();
+  Timer.expires_after(Rules->Limits.HeaderTimeout);
+  Timer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Error) {
+        if (Error)
+          return;
+        Self->HeaderLate = true;
+        Self->Stream.cancel();
+      });
+  http::async_read_header(
+      Stream, Buffer, *Parser,
+      [Self = shared_from_this()](const boost::system::error_code &Error,
+                                  std::size_t) {
+        Self->Timer.cancel();
+        if (Error || Self->Parser->is_done())
+          return Self->onRead(Error);
+        Self->readBody();
+      });
+}
+
+void http_session::readBody() {
   Stream.expires_after(Rules->Limits.IdleTimeout);
   http::async_read(
       Stream, Buffer, *Parser,
@@ -63,7 +117,8 @@
 }
 
 void http_session::onRead(const boost::system::error_code &Error) {
-  if (auto Rejection = rejectionOf(Error)) {
+  auto Rejection = HeaderLate ? lateHeader() : rejectionOf(Error);
+  if (Rejection) {
     Rejected = true;
     return respond(std::move(*Rejection));
   }
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -35,6 +35,10 @@
 
 private:
   void read();
+  /// Takes what has come already.
+  void parseBuffered();
+  void readHeader();
+  void readBody();
   void onRead(const boost::system::error_code &Error);
   /// Finds out when the caller leaves before it has its response.
   void watchCaller();
@@ -48,12 +52,15 @@
   boost::beast::flat_buffer Buffer;
   std::optional<http_request_parser> Parser;
   std::optional<beast_response> Out;
-  boost::asio::steady_timer SetupTimer;
+  /// Ends the set-up delay, later the time for a header.
+  boost::asio::steady_timer Timer;
   bool Busy = false;
   bool Closing = false;
   /// The request under way lets its connection be kept.
   bool KeepAlive = false;
   bool Rejected = false;
+  /// The header took longer than the limits allow.
+  bool HeaderLate = false;
   /// A wait of watchCaller() is under way.
   bool Watching = false;
   std::uint64_t Serial = 0;
--- a/packages/net/masticproxy/src/Net/http_status.h
+++ b/packages/net/masticproxy/src/Net/http_status.h
@@ -8,6 +8,7 @@
 inline constexpr unsigned StatusBadRequest = 400;
 inline constexpr unsigned StatusNotFound = 404;
 inline constexpr unsigned StatusMethodNotAllowed = 405;
+inline constexpr unsigned StatusRequestTimeout = 408;
 inline constexpr unsigned StatusConflict = 409;
 inline constexpr unsigned StatusGone = 410;
 inline constexpr unsigned StatusMisdirected = 421;
--- a/packages/net/tests/http_exchange_test.cpp
+++ b/packages/net/tests/http_exchange_test.cpp
@@ -217,3 +217,73 @@
     Context.run_one();
   cr_assert(not Gone);
 }
+
+namespace {
+
+/// What a server with \p Limits answers to \p Parts, sent one after the other
+/// with a pause between them.
+std::string answerTo(http_server_limits Limits,
+                     const std::vector<std::string> &Parts) {
+  boost::asio::io_context Context;
+  http_server Server(
+      Context, "127.0.0.1:0", Limits,
+      [](const http_request &Request, const http_server::responder &Respond) {
+        http_response Response;
+        Response.Body = Request.Body;
+        Response.Close = true;
+        Respond(std::move(Response));
+      });
+  tcp::socket Caller(Context);
+  Caller.connect({boost::asio::ip::address_v4::loopback(), Server.port()});
+  for (const std::string &Part : Parts) {
+    boost::system::error_code Ignored;
+    boost::asio::write(Caller, boost::asio::buffer(Part), Ignored);
+    Context.run_for(milliseconds(20));
+  }
+  std::string Answer;
+  bool Done = false;
+  boost::asio::async_read_until(
+      Caller, boost::asio::dynamic_buffer(Answer), "\r\n\r\n",
+      [&](const boost::system::error_code &, std::size_t) { Done = true; });
+  while (!Done)
+    Context.run_one();
+  return Answer;
+}
+
+} // namespace
+
+Test(server, takes_a_request_in_any_parts) {
+  std::string Whole = "POST / HTTP/1.1\r\ncontent-length: 4\r\n\r\nbody";
+  for (std::size_t Cut = 1; Cut < Whole.size(); Cut += 5) {
+    std::string Answer =
+        answerTo({}, {Whole.substr(0, Cut), Whole.substr(Cut)});
+    cr_assert(Answer.starts_with("HTTP/1.1 200"), "cut at %zu", Cut);
+    cr_assert(Answer.ends_with("body") || Answer.ends_with("\r\n\r\n"));
+  }
+}
+
+Test(server, takes_a_body_in_chunks) {
+  std::string Answer = answerTo(
+      {}, {"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n",
+           "3\r\ncde\r\n0\r\n\r\n"});
+  cr_assert(Answer.starts_with("HTTP/1.1 200"));
+  cr_assert(Answer.find("ontent-") != Answer.npos ||
+            Answer.find("CONTENT-") != Answer.npos);
+}
+
+Test(server, refuses_a_header_that_takes_too_long) {
+  http_server_limits Limits;
+  Limits.HeaderTimeout = milliseconds(50);
+  std::string Answer = answerTo(Limits, {"GET / HT"});
+  cr_assert(Answer.starts_with("HTTP/1.1 408"), "%s", Answer.c_str());
+}
+
+Test(server, refuses_a_header_above_the_limit) {
+  http_server_limits Limits;
+  Limits.HeaderBytes = 200;
+  std::string Long = "GET / HTTP/1.1\r\na: " + std::string(300, 'x');
+  std::string Answer = answerTo(Limits, {Long + "\r\n\r\n"});
+  cr_assert(Answer.starts_with("HTTP/1.1 431"), "%s", Answer.c_str());
+  Answer = answerTo(Limits, {Long.substr(0, 150), Long.substr(150)});
+  cr_assert(Answer.starts_with("HTTP/1.1 431"), "%s", Answer.c_str());
+}
