--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -215,7 +215,7 @@
   if (auto *Changed = std::get_if<catalogue_changed>(&Update))
     handle(std::move(*Changed));
   else if (auto *Notice = std::get_if<poison_notice>(&Update))
-    handle(std::move(*Notice));
+    hear(std::move(*Notice));
   else if (auto *Drain = std::get_if<drain_notice>(&Update))
     handle(std::move(*Drain));
   else if (auto *Remotes = std::get_if<remotes_changed>(&Update))
@@ -224,6 +224,15 @@
     Engine.setGrant(std::move(std::get<grant_renewed>(Update).Grant));
 }
 
+void engine_thread::hear(poison_notice Notice) {
+  auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Notice.Age);
+  logInfo("event=upstream_death_heard query=" +
+          std::to_string(Notice.Fingerprint) + " shard=" + Notice.Shard +
+          " rounds=" + std::to_string(Notice.Rounds) +
+          " age_ms=" + std::to_string(Age.count()));
+  handle(std::move(Notice));
+}
+
 void engine_thread::schedule() {
   std::optional<time_point> Next = Engine.nextWakeup();
   if (!Next)
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -68,6 +68,8 @@
   void carryOut(const poison_notice &Command);
   void carryOut(const drain_notice &Command);
   void take(engine_update Update);
+  /// Takes in that an upstream died elsewhere.
+  void hear(poison_notice Notice);
   void schedule();
   void noteReach();
   /// Writes and counts an attempt that \p Event ends.
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
@@ -1,4 +1,5 @@
 #include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/daemon_log.h"
 #include "masticproxy/src/Daemon/engine_thread.h"
 #include "masticproxy/src/Drain/drain_timing.h"
 #include "masticproxy/src/Net/event_log.h"
@@ -28,6 +29,10 @@
   Events.add("poison_" + std::string(Held), "",
              "query " + std::to_string(Command.Fingerprint) + " at shard " +
                  Command.Shard);
+  logWarning("event=query_" + std::string(Held) +
+             " query=" + std::to_string(Command.Fingerprint) +
+             " shard=" + Command.Shard +
+             " rounds=" + std::to_string(Command.Rounds));
   // A lost notice costs the other VMs one more death each at most.
   if (!Control->push(Command))
     Counters.get("notice_ring_full_total").add();
--- a/packages/testing/tests/bad_input_test.cpp
+++ b/packages/testing/tests/bad_input_test.cpp
@@ -32,6 +32,15 @@
   return Cluster.get(Cluster.callersAddress(0), "/healthz") == "ok\n";
 }
 
+bool takesPeers(test_cluster &Cluster) {
+  try {
+    return exchangeRaw(Cluster.peersAddress(0), "", /*EndAfter=*/true).Closed;
+  } catch (const std::exception &) {
+    // Not open yet.
+    return false;
+  }
+}
+
 bool contains(const std::string &Text, std::string_view Part) {
   return Text.find(Part) != std::string::npos;
 }
@@ -95,7 +104,8 @@
 Test(bad_input, bad_frames_close_their_connection_and_are_counted) {
   test_cluster Cluster({.FirstPort = 25400, .VmDataCentres = {"dc1"}});
   Cluster.startVm(0);
-  cr_assert(Cluster.waitUntil([&] { return healthy(Cluster); }));
+  // The peers' address is the last that a VM opens.
+  cr_assert(Cluster.waitUntil([&] { return takesPeers(Cluster); }));
   std::string Frame =
       makeFrame(encodePeerMessage(configuration_pull{7, "a"}, {}));
   std::string Foreign = Frame;
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -57,9 +57,10 @@
 REPORTS=$PWD/build/tsan/reports
 rm -rf "$REPORTS"
 mkdir -p "$REPORTS"
-TSAN_OPTIONS="log_path=$REPORTS/report exitcode=0" \
+TSAN_OPTIONS="log_path=$REPORTS/report exitcode=0 symbolize=0" \
   MASTICPROXY_INSTRUMENTED_BIN=$PWD/build/tsan/bin run_tests build/release -L threaded
-python3 tools/tsan_reports.py "$REPORTS"
+python3 tools/tsan_reports.py "$REPORTS" build/tsan/bin
+./tools/tsan_reports_test.sh
 
 step "fuzzers, a bounded run"
 ./tools/fuzz.sh
