--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -226,10 +226,10 @@
 
 void engine_thread::hear(poison_notice Notice) {
   auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Notice.Age);
-  logInfo("event=upstream_death_heard query=" +
-          std::to_string(Notice.Fingerprint) + " shard=" + Notice.Shard +
-          " rounds=" + std::to_string(Notice.Rounds) +
-          " age_ms=" + std::to_string(Age.count()));
+  logInfo(
+      "event=upstream_death_heard query=" + std::to_string(Notice.Fingerprint) +
+      " shard=" + Notice.Shard + " rounds=" + std::to_string(Notice.Rounds) +
+      " age_ms=" + std::to_string(Age.count()));
   handle(std::move(Notice));
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
@@ -29,9 +29,8 @@
   Events.add("poison_" + std::string(Held), "",
              "query " + std::to_string(Command.Fingerprint) + " at shard " +
                  Command.Shard);
-  logWarning("event=query_" + std::string(Held) +
-             " query=" + std::to_string(Command.Fingerprint) +
-             " shard=" + Command.Shard +
+  logWarning("event=query_" + std::string(Held) + " query=" +
+             std::to_string(Command.Fingerprint) + " shard=" + Command.Shard +
              " rounds=" + std::to_string(Command.Rounds));
   // A lost notice costs the other VMs one more death each at most.
   if (!Control->push(Command))
