Hedge a shard of a forwarded request only where it is late by itself

Ruled out: pauses of most servers (36 of 36 at once), cold connections alone (also at second 14). Change: a hedge waits until half of the shards have answered, looked at every 5 ms. Test: forwarded_load, keeps_its_hedges_while_all_shards_are_late; failed before.

--- a/packages/core/masticproxy/src/Query/query_engine_hedges.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_hedges.cpp
@@ -11,6 +11,9 @@
 /// the target latency divided by this, so that the hedge can still be in time.
 constexpr int FirstHedgeDivisor = 3;
 
+/// How often a request whose shards are late together is looked at again.
+constexpr std::chrono::milliseconds TogetherPoll{5};
+
 } // namespace
 
 std::optional<duration>
@@ -43,6 +46,10 @@
   query_run *Run = findRun(Record);
   if (!Run || !Run->mayHedge(Record.Shard))
     return;
+  // Shards that are late together have a common cause, as a VM that is short of
+  // processor time; hedges of them all would leave none for a straggler.
+  if (!Run->lateByItself())
+    return Hedges.add(Clock.now() + TogetherPoll, Attempt);
   const replica *Chosen = Upstreams.chooseHedge(
       replicasOf(*Run, Record.Shard), Run->tried(Record.Shard), Clock.now());
   bool Allowed = Chosen && Poison.mayStart(Run->fingerprint(), Chosen->Address);
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -42,6 +42,11 @@
          attemptsLeft(Shards[Shard]);
 }
 
+bool query_run::lateByItself() const {
+  coverage Stated = Partial.stated();
+  return !Route || Stated.Asked <= 1 || 2 * Stated.Answered >= Stated.Asked;
+}
+
 bool query_run::attemptsLeft(const shard_state &State) const {
   return Profile.Attempts == 0 ||
          State.Ran + State.Open.size() < Profile.Attempts;
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -115,6 +115,11 @@
   /// \returns whether a second attempt may run beside the only open one.
   bool mayHedge(std::size_t Shard) const;
 
+  /// \returns whether a shard without a result is late by itself: most of the
+  /// others have one. Told of forwarded requests only, which have a load budget
+  /// for each shard.
+  bool lateByItself() const;
+
   /// \returns the upstreams already tried for a shard.
   std::span<const std::string> tried(std::size_t Shard) const {
     return Shards[Shard].Tried;
--- a/packages/core/tests/forwarded_load_test.cpp
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -85,12 +85,10 @@
   std::vector<send_attempt> Open;
 };
 
-} // namespace
-
-// Upstreams that fail, refuse or keep silent, also all of a shard at once.
-Test(forwarded_load, keeps_each_shard_within_its_extra_share) {
-  cr_assert(rc::check([] {
-    forwarding_world World(2);
+/// Whether each shard stays within its extra share, whatever its upstreams do.
+bool staysWithinExtraShare(const engine_limits &Limits) {
+  return rc::check([&] {
+    forwarding_world World(2, /*Replicas=*/3, /*Coverage=*/0.75, Limits);
     load_schedule Schedule(World);
     for (int Phase = 0; Phase < 3; ++Phase) {
       Schedule.Failing = draw(0, 100);
@@ -104,7 +102,29 @@
     for (const auto &[Shard, Load] : Schedule.Loads)
       RC_ASSERT(Load.Sent - Load.Requests <=
                 ExtraShare * Load.Requests + ExtraSlack);
-  }));
+  });
+}
+
+/// The policy that asks the replicas in turn and sends no hedges.
+engine_limits naiveLimits() {
+  engine_limits Limits = forwarding_world::limits();
+  Limits.Policy = policy_name::Naive;
+  Limits.SuspectSlow = false;
+  return Limits;
+}
+
+} // namespace
+
+// Upstreams that fail, refuse or keep silent, also all of a shard at once.
+Test(forwarded_load, keeps_each_shard_within_its_extra_share) {
+  cr_assert(staysWithinExtraShare(forwarding_world::limits()));
+}
+
+Test(forwarded_load, the_property_catches_a_budget_that_saves_too_much) {
+  engine_limits Generous = forwarding_world::limits();
+  Generous.Tuning.PerShard.Initial = 20;
+  Generous.Tuning.PerShard.Capacity = 20;
+  cr_assert_not(staysWithinExtraShare(Generous));
 }
 
 // Servers of many shards turn slow at once: a fifth of all attempts.
@@ -131,13 +151,16 @@
   cr_assert(Hedged > 0);
 }
 
-// A server that stays slow: it must not get its share of the attempts.
-Test(forwarded_load, avoids_an_upstream_that_stays_slow) {
-  forwarding_world World(1);
+namespace {
+
+constexpr int SlowRequests = 400;
+
+/// \returns how many of the requests went to an upstream that stays slow.
+int sentToSlow(const engine_limits &Limits) {
+  forwarding_world World(1, /*Replicas=*/3, /*Coverage=*/0.75, Limits);
   constexpr milliseconds Usual{14};
   int Slow = 0;
-  constexpr int Requests = 400;
-  for (query_ticket Ticket = 1; Ticket <= Requests; ++Ticket) {
+  for (query_ticket Ticket = 1; Ticket <= SlowRequests; ++Ticket) {
     auto Open = attemptsIn(World.arrive(Ticket));
     bool IsSlow = Open[0].Upstream == "s0-0";
     Slow += IsSlow ? 1 : 0;
@@ -152,8 +175,21 @@
     World.pass(Usual * 4);
     World.answer(Open[0]);
   }
+  return Slow;
+}
+
+} // namespace
+
+// A server that stays slow: it must not get its share of the attempts.
+Test(forwarded_load, avoids_an_upstream_that_stays_slow) {
+  int Slow = sentToSlow(forwarding_world::limits());
   // A third of them would be its share.
-  cr_assert(Slow < Requests / 10, "%d", Slow);
+  cr_assert(Slow < SlowRequests / 10, "%d", Slow);
+}
+
+Test(forwarded_load, the_load_of_a_slow_upstream_catches_the_naive_policy) {
+  int Slow = sentToSlow(naiveLimits());
+  cr_assert(Slow > SlowRequests / 10, "%d", Slow);
 }
 
 // Refused connections of a crashed server: what never left is no extra load.
@@ -227,31 +263,76 @@
   cr_assert(Used);
 }
 
+namespace {
+
+/// \returns the hedges of the only straggler of a VM's first request.
+std::vector<send_attempt> hedgesAfterStart(forwarding_world &World) {
+  auto First = attemptsIn(World.arrive(1));
+  for (std::size_t I = 1; I < First.size(); ++I)
+    World.answer(First[I]);
+  return attemptsIn(World.pass(forwarding_world::Target / 2));
+}
+
+} // namespace
+
 // All VMs start at once and know no latencies yet.
 Test(forwarded_load, hedges_a_straggler_right_after_a_start) {
   forwarding_world World(4);
+  auto Hedges = hedgesAfterStart(World);
+  cr_assert(Hedges.size() == 1);
+  cr_assert(outcomeIn<answered>(World.answer(Hedges[0])) != nullptr);
+}
+
+// A VM short of processor time: all shards of a request are late together.
+Test(forwarded_load, keeps_its_hedges_while_all_shards_are_late) {
+  forwarding_world World(10);
   auto First = attemptsIn(World.arrive(1));
+  auto Early = attemptsIn(World.pass(forwarding_world::Target / 2));
+  cr_assert(Early.empty(), "%zu hedges", Early.size());
   for (std::size_t I = 1; I < First.size(); ++I)
     World.answer(First[I]);
-  auto Hedges = attemptsIn(World.pass(forwarding_world::Target / 2));
+  auto Hedges = attemptsIn(World.pass(milliseconds(10)));
   cr_assert(Hedges.size() == 1 && Hedges[0].Shard == First[0].Shard);
-  cr_assert(outcomeIn<answered>(World.answer(Hedges[0])) != nullptr);
 }
 
-// More requests than places, of an urgent profile and a less urgent one.
-Test(forwarded_load, lets_the_urgent_ones_go_first_under_overload) {
-  forwarding_world World(1);
+Test(forwarded_load, a_start_without_hedges_is_caught) {
+  forwarding_world World(4, /*Replicas=*/3, /*Coverage=*/0.75, naiveLimits());
+  cr_assert(hedgesAfterStart(World).empty());
+}
+
+namespace {
+
+/// \returns how many urgent requests get the first places that become free
+/// while less urgent ones wait for longer; as many as there are places.
+int urgentServedFirst(forwarding_world &World) {
   constexpr query_ticket Places = 9;
   std::vector<send_attempt> Open;
   for (query_ticket Ticket = 1; Ticket <= 3 * Places; ++Ticket)
     for (const send_attempt &Sent : attemptsIn(World.arrive(Ticket, "whole")))
       Open.push_back(Sent);
-  cr_assert(Open.size() == Places);
   for (query_ticket Ticket = 101; Ticket <= 100 + Places; ++Ticket)
-    cr_assert(attemptsIn(World.arrive(Ticket, "urgent")).empty());
-  for (const send_attempt &Attempt : Open) {
-    auto Next = attemptsIn(World.answer(Attempt));
-    cr_assert(Next.size() == 1);
-    cr_assert(Next[0].Forwarded->Target.starts_with("/urgent/"));
-  }
+    World.arrive(Ticket, "urgent");
+  int Urgent = 0;
+  for (const send_attempt &Attempt : Open)
+    for (const send_attempt &Next : attemptsIn(World.answer(Attempt)))
+      Urgent += Next.Forwarded->Target.starts_with("/urgent/") ? 1 : 0;
+  return Urgent;
+}
+
+} // namespace
+
+// More requests than places, of an urgent profile and a less urgent one.
+Test(forwarded_load, lets_the_urgent_ones_go_first_under_overload) {
+  forwarding_world World(1);
+  cr_assert(urgentServedFirst(World) == 9);
+}
+
+Test(forwarded_load, an_order_without_ranks_is_caught) {
+  forwarding_world World(1);
+  for (profile &Profile : World.Configuration.Profiles)
+    Profile.Priority = 0;
+  ++World.Configuration.Version;
+  World.publish();
+  int Urgent = urgentServedFirst(World);
+  cr_assert(Urgent < 9, "%d", Urgent);
 }
--- a/packages/core/tests/forwarded_query_test.cpp
+++ b/packages/core/tests/forwarded_query_test.cpp
@@ -67,6 +67,19 @@
   cr_assert(count<cancel_attempt>(Commands) == 0);
 }
 
+Test(forwarded, the_time_of_an_answer_catches_a_profile_without_target) {
+  forwarding_world World(4);
+  for (profile &Profile : World.Configuration.Profiles)
+    Profile.TargetLatency = milliseconds(0);
+  ++World.Configuration.Version;
+  World.publish();
+  auto Attempts = attemptsIn(World.arrive(1));
+  for (std::size_t I = 1; I < Attempts.size(); ++I)
+    World.answer(Attempts[I]);
+  auto Commands = World.pass(forwarding_world::Target * 2);
+  cr_assert(outcomeIn<answered>(Commands) == nullptr);
+}
+
 Test(forwarded, answers_late_as_soon_as_the_coverage_suffices) {
   forwarding_world World(4);
   auto Attempts = attemptsIn(World.arrive(1));
--- a/packages/core/tests/forwarding_world.h
+++ b/packages/core/tests/forwarding_world.h
@@ -20,8 +20,9 @@
   static constexpr unsigned Attempts = 2;
 
   explicit forwarding_world(unsigned Shards, unsigned Replicas = 3,
-                            double Coverage = 0.75)
-      : Engine(Clock, limits()) {
+                            double Coverage = 0.75,
+                            const engine_limits &Limits = limits())
+      : Engine(Clock, Limits) {
     Configuration.Version = 1;
     addRoute("merged", "merged", answer_form::GreatestRecords, Coverage);
     addRoute("whole", "whole", answer_form::Whole, 1.0);
