Gather the upstreams of a start for two seconds; no loss where a VM stops

Ruled out: watches that wait longer than 20 s: what the store leaves out when it drops its history is only found by the list after a watch without news. Change: two seconds instead of one, only while the site itself starts; the duties that follow the store are told of the stop before their call is ended. Test: users_path, gathers_the_upstreams_that_start_with_it; fails with 250 ms.

--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -22,7 +22,7 @@
 
 /// The same while the upstreams start together with this VM: nothing can be
 /// gone yet, and each of them would cost every VM a call.
-constexpr std::chrono::milliseconds StartGatherTime{1000};
+constexpr std::chrono::milliseconds StartGatherTime{2000};
 
 /// Time in which upstreams that start together with this VM register.
 constexpr std::chrono::seconds StartTime{10};
@@ -54,12 +54,16 @@
   Thread = std::thread([this] { run(); });
 }
 
-void discovery_thread::stop() {
+void discovery_thread::beginStop() {
   {
     std::lock_guard<std::mutex> Lock(Mutex);
     Stopping = true;
   }
   Wake.notify_all();
+}
+
+void discovery_thread::stop() {
+  beginStop();
   if (Thread.joinable())
     Thread.join();
 }
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -29,6 +29,11 @@
   ~discovery_thread();
 
   void start();
+
+  /// Takes the end of the call under way for no loss of the platform.
+  void beginStop();
+
+  /// Waits until the call under way has ended.
   void stop();
 
   /// \returns whether the last call was answered.
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -185,6 +185,8 @@
     : Parts(std::make_unique<parts>(std::move(Settings))) {}
 
 entry_daemon::~entry_daemon() {
+  Parts->ConfigurationDuty.beginStop();
+  Parts->RegistrationDuty.beginStop();
   Parts->PlatformStop.request_stop();
   Parts->ConfigurationDuty.stop();
   Parts->RegistrationDuty.stop();
