Let the time line be switched off; the users' platform has none

Cause: each attempt wrote two events of the time line, with five texts each, under a lock; its page can't be reached on the users' platform, and 1,000 events are a tenth of a VM's memory. Ruled out: the log's lines (bounded at 50 a second), counters. Change: timeline.events may be 0; attempts are then described only for the log and the histograms. Test: attempts, are_told_when_they_end_also_without_a_time_line.

--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -74,8 +74,8 @@
      "Whether a query not seen before runs on one shard alone at first."},
     {"log.level", value_kind::Choice, "\"info\"", 0, 0, "debug|info|warn|error",
      "Least level of a line that is written."},
-    {"timeline.events", value_kind::Integer, "20000", 100, 10000000, "",
-     "Events of the time line kept in memory."},
+    {"timeline.events", value_kind::Integer, "20000", 0, 10000000, "",
+     "Events of the time line kept in memory; 0: no time line."},
 };
 
 constexpr key_spec ProfileSpecs[] = {
--- a/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/attempt_log.cpp
@@ -42,7 +42,8 @@
 
 void attempt_log::begin(std::string_view Kind, std::string RequestId,
                         event_facts Facts) {
-  Events.add(Kind, RequestId, Facts.Shard + " to " + Facts.Upstream, Facts);
+  if (Events.keeps())
+    Events.add(Kind, RequestId, Facts.Shard + " to " + Facts.Upstream, Facts);
   attempt_id Id = Facts.Attempt;
   Open.insert_or_assign(
       Id, open_attempt{std::move(RequestId), std::move(Facts), Clock.now()});
@@ -71,10 +72,11 @@
   open_attempt Ended = std::move(Found->second);
   Open.erase(Found);
   Ended.Facts.End = End;
-  Events.add(Kind, Ended.RequestId,
-             Ended.Facts.End + ", " + Ended.Facts.Shard + " at " +
-                 Ended.Facts.Upstream,
-             Ended.Facts);
+  if (Events.keeps())
+    Events.add(Kind, Ended.RequestId,
+               Ended.Facts.End + ", " + Ended.Facts.Shard + " at " +
+                   Ended.Facts.Upstream,
+               Ended.Facts);
   return ended_attempt{std::move(Ended.RequestId), std::move(Ended.Facts),
                        Clock.now() - Ended.SentAt};
 }
--- a/packages/daemon/tests/attempt_log_test.cpp
+++ b/packages/daemon/tests/attempt_log_test.cpp
@@ -68,6 +68,20 @@
                         {"cancelled", "answered", "not_sent", "silent"}));
 }
 
+Test(attempts, are_told_when_they_end_also_without_a_time_line) {
+  os_clock Clock;
+  hybrid_clock Stamps(Clock);
+  event_log None(Stamps, 0);
+  attempt_log Attempts(Clock, None);
+  send_attempt Command;
+  Command.Attempt = 5;
+  Command.RequestId = "r";
+  Attempts.sent(Command);
+  auto Ended = Attempts.ended(attempt_failed{5, attempt_failure::Refused});
+  cr_assert(Ended && Ended->RequestId == "r" && Ended->Facts.End == "refused");
+  cr_assert(None.events("").empty());
+}
+
 Test(attempts, through_another_vm_name_that_vm) {
   noted_attempts Noted;
   send_relay Command;
--- a/packages/net/masticproxy/src/Net/event_log.cpp
+++ b/packages/net/masticproxy/src/Net/event_log.cpp
@@ -7,6 +7,8 @@
 
 void event_log::add(std::string_view Kind, std::string_view RequestId,
                     std::string_view Detail, event_facts Facts) {
+  if (!keeps())
+    return;
   timeline_event Event{{},
                        std::string(Kind),
                        std::string(RequestId),
--- a/packages/net/masticproxy/src/Net/event_log.h
+++ b/packages/net/masticproxy/src/Net/event_log.h
@@ -17,9 +17,12 @@
 /// \brief The newest events of one process; older ones give way.
 class event_log {
 public:
-  /// Keeps up to \p Capacity events.
+  /// Keeps up to \p Capacity events; with 0 none.
   event_log(hybrid_clock &Clock, std::size_t Capacity);
 
+  /// \returns whether events are kept, so that they are worth describing.
+  bool keeps() const { return Events.capacity() > 0; }
+
   /// Adds an event that happens now.
   void add(std::string_view Kind, std::string_view RequestId,
            std::string_view Detail, event_facts Facts = {});
