--- a/packages/core/masticproxy/src/Base/histogram.cpp
+++ b/packages/core/masticproxy/src/Base/histogram.cpp
@@ -50,12 +50,15 @@
   for (std::size_t I = 0; I <= Edges; ++I) {
     Below += Counts[I].load(std::memory_order_relaxed);
     std::string Edge = I < Edges ? secondsText(UpperEdges[I]) : "+Inf";
-    Text += Key + "_bucket{" + Before + "le=\"" + Edge + "\"} " +
-            std::to_string(Below) + "\n";
+    Text.append(Key).append("_bucket{").append(Before);
+    Text.append("le=\"").append(Edge).append("\"} ");
+    Text.append(std::to_string(Below)).append("\n");
   }
+  std::string After = inBraces(Labels) + " ";
   std::chrono::microseconds Sum(SumMicroseconds.load());
-  Text += Key + "_sum" + inBraces(Labels) + " " + secondsText(Sum) + "\n";
-  Text +=
-      Key + "_count" + inBraces(Labels) + " " + std::to_string(Below) + "\n";
+  Text.append(Key).append("_sum").append(After);
+  Text.append(secondsText(Sum)).append("\n");
+  Text.append(Key).append("_count").append(After);
+  Text.append(std::to_string(Below)).append("\n");
   return Text;
 }
