--- a/packages/testing/masticproxy/src/Harness/test_cluster.cpp
+++ b/packages/testing/masticproxy/src/Harness/test_cluster.cpp
@@ -1,15 +1,14 @@
 #include "masticproxy/src/Harness/test_cluster.h"
 
+#include "masticproxy/src/Harness/test_programs.h"
 #include "masticproxy/src/Net/http_call.h"
 
 #include <nlohmann/json.hpp>
 
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
-#include <thread>
 
 using namespace masticproxy;
 
@@ -19,7 +18,6 @@
 constexpr unsigned PeersOffset = 20;
 constexpr unsigned UpstreamsOffset = 40;
 constexpr std::chrono::milliseconds CallTimeout{5000};
-constexpr std::chrono::milliseconds ConditionPoll{10};
 constexpr std::chrono::seconds StartWait{20};
 constexpr std::chrono::milliseconds OwnProcessCheck{100};
 
@@ -27,13 +25,6 @@
   std::ofstream(Path) << Text;
 }
 
-/// \returns the loopback address that all processes of a test listen at. Runs
-/// of several work trees side by side each take one of their own.
-std::string testHost() {
-  const char *Host = std::getenv("MASTICPROXY_TEST_HOST");
-  return Host ? Host : "127.0.0.1";
-}
-
 std::string readFile(const std::string &Path) {
   std::ostringstream Text;
   Text << std::ifstream(Path).rdbuf();
@@ -75,7 +66,7 @@
 
 void test_cluster::startPlatform() {
   Platform = std::make_unique<child_process>(
-      std::vector<std::string>{program("platform_stub"), platformAddress()},
+      std::vector<std::string>{programPath("platform_stub"), platformAddress()},
       logFile("platform"));
   bool Up =
       waitUntil([&] { return !get(platformAddress(), "/stub/counts").empty(); },
@@ -92,7 +83,7 @@
   std::string File = settingsFile(Index);
   writeFile(File, settingsText(Index));
   Vms[Index] = std::make_unique<child_process>(
-      std::vector<std::string>{program("masticproxyd"), "--settings", File},
+      std::vector<std::string>{programPath("masticproxyd"), "--settings", File},
       logFile("vm-" + std::to_string(Index)));
 }
 
@@ -157,13 +148,7 @@
 
 bool test_cluster::waitUntil(const std::function<bool()> &Condition,
                              std::chrono::milliseconds Longest) {
-  auto Latest = std::chrono::steady_clock::now() + Longest;
-  while (!Condition()) {
-    if (std::chrono::steady_clock::now() >= Latest)
-      return false;
-    std::this_thread::sleep_for(ConditionPoll);
-  }
-  return true;
+  return masticproxy::waitUntil(Condition, Longest);
 }
 
 int test_cluster::ctl(const std::vector<std::string> &Args,
@@ -176,7 +161,7 @@
 int test_cluster::run(const std::string &Name,
                       const std::vector<std::string> &Args,
                       std::string &Output) {
-  std::vector<std::string> Command{program(Name)};
+  std::vector<std::string> Command{programPath(Name)};
   Command.insert(Command.end(), Args.begin(), Args.end());
   std::string File = Folder + "/" + Name + ".out";
   std::filesystem::remove(File);
@@ -216,23 +201,13 @@
   return testHost() + ":" + std::to_string(Plan.FirstPort + Offset);
 }
 
-std::string test_cluster::program(const std::string &Name) const {
-  // CI runs the process tests a second time over instrumented programs.
-  const char *Folder = std::getenv("MASTICPROXY_INSTRUMENTED_BIN");
-  if (!Folder)
-    Folder = std::getenv("MASTICPROXY_BIN");
-  if (!Folder)
-    throw std::runtime_error("MASTICPROXY_BIN is not set; run under ctest");
-  return std::string(Folder) + "/" + Name;
-}
-
 std::string test_cluster::logFile(const std::string &Name) const {
   return Folder + "/" + Name + ".log";
 }
 
 std::vector<std::string> test_cluster::upstreamCommand() const {
   std::vector<std::string> Command{
-      program("upstream_stub"),
+      programPath("upstream_stub"),
       "--first-port",
       std::to_string(Plan.FirstPort + UpstreamsOffset),
       "--host",
--- a/packages/testing/masticproxy/src/Harness/test_cluster.h
+++ b/packages/testing/masticproxy/src/Harness/test_cluster.h
@@ -109,7 +109,6 @@
 
 private:
   std::string address(unsigned Offset) const;
-  std::string program(const std::string &Name) const;
   std::string logFile(const std::string &Name) const;
   std::vector<std::string> upstreamCommand() const;
   std::string settingsText(std::size_t Vm) const;
