--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -2,10 +2,10 @@
 
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/daemon_log.h"
+#include "masticproxy/src/Daemon/failure_pause.h"
 #include "masticproxy/src/Net/platform_caller.h"
 
 #include <algorithm>
-#include <random>
 
 using namespace masticproxy;
 
@@ -114,8 +114,7 @@
   bool First = Reachable.exchange(false);
   logWarning("event=platform_" + std::string(First ? "lost" : "still_lost") +
              " kind=" + Kind + " reason=\"" + Failure.Reason + "\"");
-  thread_local std::minstd_rand Random{std::random_device{}()};
-  pause(Backoff.onFailure(std::uniform_real_distribution<>(0, 1)(Random)));
+  pause(pauseAfterFailure(Backoff));
 }
 
 void discovery_thread::pause(duration Span) {
--- a/packages/daemon/masticproxy/src/Daemon/platform_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/platform_thread.cpp
@@ -1,10 +1,9 @@
 #include "masticproxy/src/Daemon/platform_thread.h"
 
 #include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/failure_pause.h"
 #include "masticproxy/src/Net/platform_api.h"
 
-#include <random>
-
 using namespace masticproxy;
 
 namespace {
@@ -97,7 +96,7 @@
   bool Answered = followOnce();
   Reachable.store(Answered);
   if (!Answered)
-    return pause(pauseAfterFailure());
+    return pause(pauseAfterFailure(Backoff));
   Backoff.onSuccess();
   if (Follower.behind())
     pause(BehindPause);
@@ -158,11 +157,6 @@
   return true;
 }
 
-duration platform_thread::pauseAfterFailure() {
-  thread_local std::minstd_rand Random{std::random_device{}()};
-  return Backoff.onFailure(std::uniform_real_distribution<>(0, 1)(Random));
-}
-
 void platform_thread::pause(duration Span) {
   std::unique_lock<std::mutex> Lock(Mutex);
   Wake.wait_for(Lock, Span, [this] { return Stopping; });
--- a/packages/daemon/masticproxy/src/Daemon/platform_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/platform_thread.h
@@ -50,7 +50,6 @@
   void listVms(duration Interval);
   bool spendCall();
   void pause(duration Span);
-  duration pauseAfterFailure();
   void push(const platform_event &Event);
 
   platform_api &Platform;
--- a/packages/net/masticproxy/src/Net/http_connection.cpp
+++ b/packages/net/masticproxy/src/Net/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "masticproxy/src/Net/http_connection.h"
 
 #include "masticproxy/src/Net/http_convert.h"
+#include "masticproxy/src/Net/socket_peek.h"
 #include "masticproxy/src/Net/tcp_address.h"
 #include "masticproxy/src/Net/tcp_options.h"
 
@@ -111,12 +112,7 @@
   bool usable() {
     if (!Open)
       return false;
-    char Byte = 0;
-    boost::system::error_code Error;
-    Stream.socket().non_blocking(true, Error);
-    Stream.socket().receive(boost::asio::buffer(&Byte, 1),
-                            tcp::socket::message_peek, Error);
-    Open = Error == boost::asio::error::would_block;
+    Open = internal::peek(Stream.socket()) == boost::asio::error::would_block;
     return Open;
   }
 
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -1,5 +1,6 @@
 #include "masticproxy/src/Net/http_session.h"
 
+#include "masticproxy/src/Net/socket_peek.h"
 #include "masticproxy/src/Net/tcp_options.h"
 
 #include <boost/beast/http/read.hpp>
@@ -153,11 +154,7 @@
 }
 
 bool http_session::callerLeft() {
-  char Byte = 0;
-  boost::system::error_code Error;
-  Stream.socket().non_blocking(true, Error);
-  Stream.socket().receive(boost::asio::buffer(&Byte, 1),
-                          boost::asio::ip::tcp::socket::message_peek, Error);
+  boost::system::error_code Error = peek(Stream.socket());
   // A further request may be waiting to be read.
   return Error && Error != boost::asio::error::would_block;
 }
