--- a/packages/core/masticproxy/src/Discovery/routing_directory.h
+++ b/packages/core/masticproxy/src/Discovery/routing_directory.h
@@ -29,9 +29,6 @@
   /// where nothing changed since the last call that queries depend on.
   std::shared_ptr<const query_catalogue> takeChanged();
 
-  /// \returns when an upstream is to be dropped, if at all.
-  std::optional<time_point> nextExpiry() const { return Registry.nextExpiry(); }
-
   /// \returns the operator's number of the configuration in force; nothing
   /// before the first.
   std::optional<std::uint64_t> version() const;
--- a/packages/core/masticproxy/src/Discovery/upstream_registry.cpp
+++ b/packages/core/masticproxy/src/Discovery/upstream_registry.cpp
@@ -56,14 +56,6 @@
          }) > 0;
 }
 
-std::optional<time_point> upstream_registry::nextExpiry() const {
-  std::optional<time_point> Next;
-  for (const auto &[Instance, Record] : Records)
-    if (Record.GoneAt)
-      Next = std::min(Next.value_or(*Record.GoneAt), *Record.GoneAt);
-  return Next;
-}
-
 std::vector<upstream_entry> upstream_registry::entries() const {
   std::vector<upstream_entry> All;
   All.reserve(Records.size());
--- a/packages/core/masticproxy/src/Discovery/upstream_registry.h
+++ b/packages/core/masticproxy/src/Discovery/upstream_registry.h
@@ -35,9 +35,6 @@
   /// anything was dropped.
   bool expire();
 
-  /// \returns when expire() has to be called next, if at all.
-  std::optional<time_point> nextExpiry() const;
-
   /// \returns all upstreams that are taken to exist, by identity; those that
   /// have lapsed are marked.
   std::vector<upstream_entry> entries() const;
--- a/packages/core/masticproxy/src/Query/index_choice.h
+++ b/packages/core/masticproxy/src/Query/index_choice.h
@@ -24,9 +24,6 @@
   /// where the route has none.
   std::string next(const route &Route);
 
-  /// Forgets all routes, as after a change of the weights.
-  void reset() { Turns.clear(); }
-
 private:
   std::vector<double> start(const route &Route);
 
--- a/packages/core/masticproxy/src/Query/partial_answer.cpp
+++ b/packages/core/masticproxy/src/Query/partial_answer.cpp
@@ -6,6 +6,11 @@
 
 using namespace masticproxy;
 
+shard_result masticproxy::toShardResult(upstream_result Result) {
+  return {std::move(Result.Shard), std::move(Result.Body), Result.Status,
+          std::move(Result.Signature), std::move(Result.Headers)};
+}
+
 partial_answer::partial_answer(std::string RequestId,
                                std::shared_ptr<const index_snapshot> Snapshot)
     : RequestId(std::move(RequestId)), Snapshot(std::move(Snapshot)),
@@ -17,9 +22,7 @@
   std::optional<std::size_t> Index = shardIndex(Result.Shard);
   if (!Index || Results[*Index])
     return false;
-  Results[*Index] = shard_result{
-      std::move(Result.Shard), std::move(Result.Body), Result.Status,
-      std::move(Result.Signature), std::move(Result.Headers)};
+  Results[*Index] = toShardResult(std::move(Result));
   ++Answered;
   return true;
 }
--- a/packages/core/masticproxy/src/Query/partial_answer.h
+++ b/packages/core/masticproxy/src/Query/partial_answer.h
@@ -38,6 +38,9 @@
   header_list Headers = {};
 };
 
+/// \returns \p Result without what it was checked by.
+shard_result toShardResult(upstream_result Result);
+
 /// \brief The results gathered for one request from one pinned snapshot.
 ///
 /// It can't hold results of two snapshots: it is bound to one when made, and
--- /dev/null
+++ b/packages/core/masticproxy/src/Query/query_engine_finish.cpp
@@ -0,0 +1,95 @@
+// The part of the query engine that ends requests and what is open for them.
+
+#include "masticproxy/src/Query/query_catalogue.h"
+#include "masticproxy/src/Query/query_engine.h"
+
+using namespace masticproxy;
+
+void query_engine::finishIfOver(query_ticket Ticket) {
+  auto Run = Runs.find(Ticket);
+  if (Run == Runs.end())
+    return;
+  bool Refused = relay_inbox::owns(Ticket) && Run->second.awaitsSnapshot();
+  bool Due = Run->second.late() && Run->second.enough();
+  if (Run->second.complete() || Run->second.hopeless() || Refused || Due)
+    finish(Run);
+}
+
+void query_engine::finish(run_map::iterator Run) {
+  finishWith(Run, outcomeOf(*Run));
+}
+
+void query_engine::finishWith(run_map::iterator Run, query_outcome Outcome) {
+  Deadlines.erase({Run->second.due(), Run->first});
+  bool Stop =
+      Run->second.stopsLosers() || std::holds_alternative<caller_gone>(Outcome);
+  releaseClaim(Run->second, Outcome);
+  std::string RequestId = Run->second.requestId();
+  releasePlace(Run->first, Run->second, Outcome);
+  deliver(Run->first, std::move(RequestId), std::move(Outcome),
+          accountOf(Run->second));
+  cancelOpen(Run->second, Stop);
+  for (std::size_t I = 0; I < Run->second.snapshot().Shards.size(); ++I)
+    Waiting.drop({Run->first, I});
+  Runs.erase(Run);
+}
+
+void query_engine::releasePlace(query_ticket Ticket, const query_run &Run,
+                                const query_outcome &Outcome) {
+  // Attempts for other VMs have places of their own.
+  if (relay_inbox::owns(Ticket))
+    return;
+  Admission.finished(Run.rules(), Run.deadline() - Run.rules().Wait,
+                     std::holds_alternative<answered>(Outcome), Clock.now());
+}
+
+query_account query_engine::accountOf(const query_run &Run) const {
+  query_account Account;
+  Account.Profile = Run.rules().Name;
+  Account.Version = Run.rules().Version;
+  Account.TakenOn = true;
+  Account.Took = Clock.now() - (Run.deadline() - Run.rules().Wait);
+  Account.Shards = Run.snapshot().Shards.size();
+  Account.Attempts = Run.attempts();
+  Account.Missing = Run.missing();
+  return Account;
+}
+
+void query_engine::cancelOpen(query_run &Run, bool Stop) {
+  for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
+    cancelOpen(Run, I, Stop);
+}
+
+void query_engine::cancelOpen(query_run &Run, std::size_t Shard, bool Stop) {
+  for (attempt_id Attempt : Run.openAttempts(Shard))
+    cancel(Attempt, Stop);
+}
+
+void query_engine::cancel(attempt_id Attempt, bool Stop) {
+  auto Found = Attempts.find(Attempt);
+  if (Found == Attempts.end())
+    return;
+  attempt_record &Record = Found->second;
+  bool Known = std::exchange(Record.Cancelled, true);
+  time_point Now = Clock.now();
+  if (!Known && !Record.Relayed)
+    Upstreams.abandoned(
+        {Record.Upstream, Record.Index, Record.Kind, Now - Record.SentAt}, Now);
+  if (!Stop || std::exchange(Record.Stopped, true))
+    return;
+  if (Record.Relayed)
+    Commands.push_back(cancel_relay{Attempt});
+  else
+    Commands.push_back(cancel_attempt{Attempt});
+}
+
+void query_engine::refuse(const query_arrived &Request, query_outcome Outcome) {
+  query_account Account;
+  if (const profile *Profile = Catalogue->findProfile(Request.Profile)) {
+    Account.Profile = Profile->Name;
+    Account.Version = Profile->Version;
+  }
+  Commands.emplace_back(deliver_outcome{Request.Ticket, Request.RequestId,
+                                        std::move(Outcome),
+                                        std::move(Account)});
+}
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -84,9 +84,7 @@
 
 void query_run::keepFailure(upstream_result Result) {
   if (Route->Form == answer_form::Whole)
-    Failure = shard_result{std::move(Result.Shard), std::move(Result.Body),
-                           Result.Status, std::move(Result.Signature),
-                           std::move(Result.Headers)};
+    Failure = toShardResult(std::move(Result));
 }
 
 void query_run::attemptFailed(std::size_t Shard, attempt_id Attempt,
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -4,12 +4,13 @@
 cd "$(dirname "$0")/.."
 RUNS=${1:-20000}
 SEED=${2:-1}
+TARGETS=(frame settings index request)
 cmake -S . -B build/fuzz -G Ninja -DMASTICPROXY_FUZZ=ON -DCMAKE_CXX_COMPILER=clang++ >/dev/null
 # The tests are built and run elsewhere.
-cmake --build build/fuzz --target fuzz_frame fuzz_settings fuzz_index fuzz_request
+cmake --build build/fuzz --target "${TARGETS[@]/#/fuzz_}"
 FOUND=build/fuzz/found
 mkdir -p "$FOUND"
-for TARGET in frame settings index request; do
+for TARGET in "${TARGETS[@]}"; do
   # New inputs of one run must not change the next one's verdict.
   CORPUS=$(mktemp -d)
   cp fuzz/corpus/$TARGET/* "$CORPUS"
