--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -9,6 +9,10 @@
      "Name of this VM; unique over all data centres."},
     {"node.data_centre", value_kind::Text, "", 0, 0, "",
      "Data centre that this VM stands in."},
+    {"node.one_request_thread", value_kind::Boolean, "false", 0, 0, "",
+     "Whether callers, decisions and upstreams share a thread, which takes "
+     "less "
+     "processor time on a VM with a part of a core."},
     {"listen.callers", value_kind::Address, "", 0, 0, "",
      "Address that callers and the balancer reach over HTTP."},
     {"listen.pages", value_kind::Text, "\"-\"", 0, 0, "",
--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -45,6 +45,7 @@
   node_settings S;
   S.Name = Values.text("node.name");
   S.DataCentre = Values.text("node.data_centre");
+  S.OneRequestThread = Values.flag("node.one_request_thread");
   S.CallersAddress = Values.text("listen.callers");
   S.PagesAddress = Values.text("listen.pages");
   if (S.PagesAddress == NoAddress)
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -13,6 +13,8 @@
 struct node_settings {
   std::string Name;
   std::string DataCentre;
+  /// Whether callers, decisions and upstreams share a thread.
+  bool OneRequestThread;
   std::string CallersAddress;
   /// Empty where the pages stand at the callers' address.
   std::string PagesAddress;
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -55,19 +55,22 @@
 
 } // namespace
 
-callers_thread::callers_thread(const node_settings &Settings,
+callers_thread::callers_thread(loop_thread &Loop, const node_settings &Settings,
                                const clock &Clock, counter_registry &Counters,
                                event_log &Events,
                                const published<node_status> &Status,
                                const effect_log &Effects,
                                const forwarding_names &Names)
     : Settings(Settings), Clock(Clock), Counters(Counters), Events(Events),
-      Status(Status), Effects(Effects), Names(Names),
-      Outcomes(RequestRingCapacity, [this] {
-        Loop.post([this] {
-          Outcomes.drain([this](deliver_outcome O) { deliver(std::move(O)); });
-        });
-      }) {}
+      Status(Status), Effects(Effects), Names(Names), Loop(Loop),
+      Outcomes(
+          RequestRingCapacity,
+          [this] { this->Loop.dispatch([this] { drainOutcomes(); }); },
+          [this] {
+            if (this->Loop.isCurrent())
+              return drainOutcomes();
+            std::this_thread::yield();
+          }) {}
 
 callers_thread::~callers_thread() { stop(); }
 
@@ -91,7 +94,6 @@
                const http_server::responder &Respond) {
           Respond(handleRead(Request));
         });
-  Loop.start();
 }
 
 void callers_thread::stop() {
@@ -264,6 +266,10 @@
   return jsonText(std::move(Lines));
 }
 
+void callers_thread::drainOutcomes() {
+  Outcomes.drain([this](deliver_outcome O) { deliver(std::move(O)); });
+}
+
 void callers_thread::deliver(deliver_outcome Outcome) {
   auto Found = Pending.find(Outcome.Ticket);
   if (Found == Pending.end())
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.h
@@ -26,9 +26,9 @@
 /// \brief Serves callers, the balancer and operators over HTTP.
 class callers_thread {
 public:
-  callers_thread(const node_settings &Settings, const clock &Clock,
-                 counter_registry &Counters, event_log &Events,
-                 const published<node_status> &Status,
+  callers_thread(loop_thread &Loop, const node_settings &Settings,
+                 const clock &Clock, counter_registry &Counters,
+                 event_log &Events, const published<node_status> &Status,
                  const effect_log &Effects, const forwarding_names &Names);
   ~callers_thread();
 
@@ -42,7 +42,7 @@
     CutOff = std::move(NewCutOff);
   }
 
-  /// Listens and starts. \throws std::runtime_error where it can't listen.
+  /// Listens; before the loop runs. \throws std::runtime_error where it can't.
   void start();
   void stop();
 
@@ -76,6 +76,7 @@
   std::string whyNotConfigured() const;
   http_response ready() const;
   http_response timeline(const http_request &Request) const;
+  void drainOutcomes();
   void deliver(deliver_outcome Outcome);
   std::string newRequestId();
 
@@ -86,7 +87,7 @@
   const published<node_status> &Status;
   const effect_log &Effects;
   const forwarding_names &Names;
-  loop_thread Loop;
+  loop_thread &Loop;
   std::unique_ptr<http_server> Server;
   /// Serves the pages, where they stand apart.
   std::unique_ptr<http_server> Pages;
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -18,44 +18,43 @@
 
 } // namespace
 
-engine_thread::engine_thread(const clock &Clock, engine_limits Limits,
-                             counter_registry &Counters, event_log &Events,
-                             effect_log &Effects)
-    : Engine(Clock, std::move(Limits)), Counters(Counters), Events(Events),
-      Attempts(Clock, Events), Requests(Clock), Effects(Effects),
-      Timer(Loop.context()), Queries(RequestRingCapacity,
-                                     [this] {
-                                       Loop.post([this] {
-                                         Queries.drain([this](caller_event E) {
-                                           receive(std::move(E));
-                                         });
-                                       });
-                                     }),
-      UpstreamEvents(RequestRingCapacity,
-                     [this] {
-                       Loop.post([this] {
-                         UpstreamEvents.drain([this](upstream_event E) {
-                           std::visit([this](auto V) { handle(std::move(V)); },
-                                      std::move(E));
-                         });
-                       });
-                     }),
+engine_thread::engine_thread(loop_thread &Loop, const clock &Clock,
+                             engine_limits Limits, counter_registry &Counters,
+                             event_log &Events, effect_log &Effects)
+    : Loop(Loop), Engine(Clock, std::move(Limits)), Counters(Counters),
+      Events(Events), Attempts(Clock, Events), Requests(Clock),
+      Effects(Effects), Timer(Loop.context()),
+      Queries(RequestRingCapacity,
+              [this] {
+                this->Loop.dispatch([this] {
+                  Queries.drain(
+                      [this](caller_event E) { receive(std::move(E)); });
+                });
+              }),
+      UpstreamEvents(
+          RequestRingCapacity,
+          [this] { this->Loop.dispatch([this] { drainUpstreamEvents(); }); },
+          [this] {
+            if (this->Loop.isCurrent())
+              return drainUpstreamEvents();
+            std::this_thread::yield();
+          }),
       RelayEvents(RequestRingCapacity,
                   [this] {
-                    Loop.post([this] {
+                    this->Loop.post([this] {
                       RelayEvents.drain(
                           [this](relay_event E) { receive(std::move(E)); });
                     });
                   }),
       Updates(ControlRingCapacity,
               [this] {
-                Loop.post([this] {
+                this->Loop.post([this] {
                   Updates.drain(
                       [this](engine_update E) { take(std::move(E)); });
                 });
               }),
       ClaimDecisions(RequestRingCapacity, [this] {
-        Loop.post([this] {
+        this->Loop.post([this] {
           ClaimDecisions.drain(
               [this](claim_decision E) { handle(std::move(E)); });
         });
@@ -101,13 +100,13 @@
     Requests.ended(*Ended);
 }
 
-void engine_thread::carryOut(const send_attempt &Command) {
+void engine_thread::carryOut(send_attempt Command) {
   std::string Label = "kind=\"" + std::string(toString(Command.Kind)) + "\"";
   Counters.get("attempts_total", Label).add();
   Attempts.sent(Command);
   Requests.sent(Command);
   attempt_id Attempt = Command.Attempt;
-  if (Upstreams->push(Command))
+  if (Upstreams->push(std::move(Command)))
     return;
   // The ring is full: no byte left, which the engine has to hear like any
   // other failure, but not from within its own command.
@@ -144,7 +143,7 @@
                  : "event=reached_again");
 }
 
-void engine_thread::carryOut(const deliver_outcome &Command) {
+void engine_thread::carryOut(deliver_outcome Command) {
   std::string_view Name = codeOf(Command.Outcome);
   Counters.get("outcomes_total", "outcome=\"" + std::string(Name) + "\"").add();
   Events.add("outcome", Command.RequestId, Name);
@@ -152,8 +151,7 @@
   noteOutcome(Command);
   Requests.delivered(Command);
   // The callers' thread never waits for this one, so its ring drains.
-  while (!Callers->push(Command))
-    std::this_thread::yield();
+  Callers->pushWaiting(std::move(Command));
 }
 
 void engine_thread::noteOutcome(const deliver_outcome &Command) {
@@ -233,6 +231,12 @@
   handle(std::move(Notice));
 }
 
+void engine_thread::drainUpstreamEvents() {
+  UpstreamEvents.drain([this](upstream_event E) {
+    std::visit([this](auto V) { handle(std::move(V)); }, std::move(E));
+  });
+}
+
 void engine_thread::schedule() {
   std::optional<time_point> Next = Engine.nextWakeup();
   if (!Next)
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -22,7 +22,7 @@
 /// \brief Runs the query engine: carries events in and commands out.
 class engine_thread {
 public:
-  engine_thread(const clock &Clock, engine_limits Limits,
+  engine_thread(loop_thread &Loop, const clock &Clock, engine_limits Limits,
                 counter_registry &Counters, event_log &Events,
                 effect_log &Effects);
 
@@ -37,7 +37,6 @@
   claim_decision_ring &claimDecisions() { return ClaimDecisions; }
   update_ring &updates() { return Updates; }
 
-  void start() { Loop.start(); }
   void stop() { Loop.stop(); }
 
   /// Runs no new attempt for VMs of other data centres from here on.
@@ -54,10 +53,10 @@
 
 private:
   void handle(engine_event Event);
-  void carryOut(const send_attempt &Command);
+  void carryOut(send_attempt Command);
   void carryOut(const cancel_attempt &Command);
   void carryOut(const probe_upstream &Command);
-  void carryOut(const deliver_outcome &Command);
+  void carryOut(deliver_outcome Command);
   void carryOut(const send_relay &Command);
   void carryOut(const cancel_relay &Command);
   void carryOut(const answer_relay &Command);
@@ -70,6 +69,7 @@
   void take(engine_update Update);
   /// Takes in that an upstream died elsewhere.
   void hear(poison_notice Notice);
+  void drainUpstreamEvents();
   void schedule();
   void noteReach();
   /// Writes and counts an attempt that \p Event ends.
@@ -77,7 +77,7 @@
   /// Counts how long a request took.
   void noteOutcome(const deliver_outcome &Command);
 
-  loop_thread Loop;
+  loop_thread &Loop;
   query_engine Engine;
   counter_registry &Counters;
   event_log &Events;
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -12,6 +12,7 @@
 #include "masticproxy/src/Daemon/peers_thread.h"
 #include "masticproxy/src/Daemon/platform_thread.h"
 #include "masticproxy/src/Daemon/relay_thread.h"
+#include "masticproxy/src/Daemon/request_loops.h"
 #include "masticproxy/src/Daemon/upstreams_thread.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Net/http_platform.h"
@@ -81,9 +82,13 @@
                     PlatformStop.get_token()),
         Platform(Settings.PlatformAddress, Settings.PlatformCallTimeout,
                  PlatformStop.get_token()),
-        Engine(Clock, engineLimits(Settings), Counters, Events, Effects),
-        Upstreams(Clock, Counters, Grant, Settings.UpstreamConnections, Names),
-        Callers(Settings, Clock, Counters, Events, Status, Effects, Names),
+        Loops(Settings.OneRequestThread),
+        Engine(Loops.engine(), Clock, engineLimits(Settings), Counters, Events,
+               Effects),
+        Upstreams(Loops.upstreams(), Clock, Counters, Grant,
+                  Settings.UpstreamConnections, Names),
+        Callers(Loops.callers(), Settings, Clock, Counters, Events, Status,
+                Effects, Names),
         Relay(Clock, Timeline, Counters, Events, Settings.Name, Incarnation),
         Peers(Settings.PeersAddress, Timeline, Counters),
         PlatformDuty(Platform, Clock, Settings.PlatformWatchWait, Counters),
@@ -160,6 +165,7 @@
   platform::configuration_codec ConfigurationCodec;
   platform::upstream_codec UpstreamCodec;
   http_platform Platform;
+  request_loops Loops;
   engine_thread Engine;
   upstreams_thread Upstreams;
   callers_thread Callers;
@@ -205,9 +211,9 @@
 void entry_daemon::start() {
   Parts->Control = Parts->Actors.spawn<control_actor, caf::detached>(
       Parts->Duty, Parts->Settings.HeartbeatInterval);
-  Parts->Engine.start();
   Parts->Upstreams.start();
   Parts->Callers.start();
+  Parts->Loops.start();
   if (Parts->Settings.PeersExchange) {
     Parts->Relay.start();
     Parts->Peers.start();
--- a/packages/daemon/masticproxy/src/Daemon/loop_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/loop_thread.cpp
@@ -1,5 +1,6 @@
 #include "masticproxy/src/Daemon/loop_thread.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
 #include <future>
@@ -12,13 +13,22 @@
 loop_thread::~loop_thread() { stop(); }
 
 void loop_thread::start() {
-  Thread = std::thread([this] { Context.run(); });
+  if (Thread.joinable())
+    return;
+  Thread = std::thread([this] {
+    Id.store(std::this_thread::get_id());
+    Context.run();
+  });
 }
 
 void loop_thread::post(std::function<void()> Task) {
   boost::asio::post(Context, std::move(Task));
 }
 
+void loop_thread::dispatch(std::function<void()> Task) {
+  boost::asio::dispatch(Context, std::move(Task));
+}
+
 void loop_thread::call(const std::function<void()> &Task) {
   std::promise<void> Done;
   post([&] {
--- a/packages/daemon/masticproxy/src/Daemon/loop_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/loop_thread.h
@@ -4,6 +4,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <atomic>
 #include <functional>
 #include <thread>
 
@@ -20,12 +21,18 @@
   /// \returns the loop that the thread runs.
   boost::asio::io_context &context() { return Context; }
 
-  /// Starts the thread.
+  /// Starts the thread; safe to call twice.
   void start();
 
+  /// \returns whether the caller runs on the thread.
+  bool isCurrent() const { return std::this_thread::get_id() == Id.load(); }
+
   /// Runs \p Task on the thread.
   void post(std::function<void()> Task);
 
+  /// Runs \p Task on the thread: at once where the caller runs there.
+  void dispatch(std::function<void()> Task);
+
   /// Runs \p Task on the thread and waits for its end.
   void call(const std::function<void()> &Task);
 
@@ -36,6 +43,7 @@
   boost::asio::io_context Context;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   std::thread Thread;
+  std::atomic<std::thread::id> Id;
 };
 
 } // namespace masticproxy
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -6,7 +6,6 @@
 #include "masticproxy/src/Daemon/upstream_protocol.h"
 
 #include <algorithm>
-#include <thread>
 
 using namespace masticproxy;
 
@@ -27,15 +26,18 @@
 
 } // namespace
 
-upstreams_thread::upstreams_thread(const clock &Clock,
+upstreams_thread::upstreams_thread(loop_thread &Loop, const clock &Clock,
                                    counter_registry &Counters,
                                    const published<connection_grant> &Grant,
                                    unsigned OwnConnections,
                                    const forwarding_names &Names)
     : Clock(Clock), Counters(Counters), Grant(Grant),
-      OwnConnections(OwnConnections), Names(Names), ApplyTimer(Loop.context()),
+      OwnConnections(OwnConnections), Names(Names), Loop(Loop),
+      ApplyTimer(Loop.context()),
+      // Posted also from the same thread: the engine is within a command while
+      // it sends, and must not hear of the attempt's end before the next one.
       Commands(RequestRingCapacity, [this] {
-        Loop.post([this] {
+        this->Loop.post([this] {
           Commands.drain([this](upstream_command C) {
             std::visit([this](auto V) { carryOut(std::move(V)); },
                        std::move(C));
@@ -43,10 +45,7 @@
         });
       }) {}
 
-void upstreams_thread::start() {
-  scheduleApply();
-  Loop.start();
-}
+void upstreams_thread::start() { scheduleApply(); }
 
 void upstreams_thread::stop() {
   Loop.stop();
@@ -114,7 +113,7 @@
   if (auto *Response = std::get_if<http_response>(&Result)) {
     upstream_event Event = read(Ended, std::move(*Response));
     giveBack(Ended.Command.Upstream, std::move(Ended.Connection));
-    return report(Event);
+    return report(std::move(Event));
   }
   giveBack(Ended.Command.Upstream, std::move(Ended.Connection));
   const auto &Error = std::get<exchange_error>(Result);
@@ -148,10 +147,9 @@
   return attempt_failed{Attempt, attempt_failure::Unknown};
 }
 
-void upstreams_thread::report(const upstream_event &Event) {
+void upstreams_thread::report(upstream_event Event) {
   // The engine never waits for this thread, so its ring drains.
-  while (!Engine->push(Event))
-    std::this_thread::yield();
+  Engine->pushWaiting(std::move(Event));
 }
 
 upstreams_thread::connection
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
@@ -30,7 +30,8 @@
 public:
   /// \p OwnConnections bounds the connections to one upstream; 0: the grant
   /// does. Forwarded requests carry header fields of these \p Names.
-  upstreams_thread(const clock &Clock, counter_registry &Counters,
+  upstreams_thread(loop_thread &Loop, const clock &Clock,
+                   counter_registry &Counters,
                    const published<connection_grant> &Grant,
                    unsigned OwnConnections, const forwarding_names &Names);
 
@@ -68,7 +69,7 @@
   void finish(attempt_id Attempt, exchange_result Result);
   /// Says what \p Response to \p Ended means.
   upstream_event read(const open_attempt &Ended, http_response Response);
-  void report(const upstream_event &Event);
+  void report(upstream_event Event);
   connection takeConnection(const std::string &Upstream);
   void giveBack(const std::string &Upstream, connection Connection);
   unsigned places(const std::string &Upstream) const;
@@ -81,7 +82,7 @@
   const published<connection_grant> &Grant;
   unsigned OwnConnections;
   const forwarding_names &Names;
-  loop_thread Loop;
+  loop_thread &Loop;
   boost::asio::steady_timer ApplyTimer;
   std::atomic<std::uint64_t> AppliedGrant{0};
   upstream_command_ring Commands;
--- a/packages/net/masticproxy/src/Net/http_connection.cpp
+++ b/packages/net/masticproxy/src/Net/http_connection.cpp
@@ -5,8 +5,10 @@
 #include "masticproxy/src/Net/tcp_address.h"
 #include "masticproxy/src/Net/tcp_options.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -26,50 +28,105 @@
 /// and less than it takes for a lost opening packet to be sent again.
 constexpr std::chrono::milliseconds ConnectTimeout{300};
 
+/// Read at first; most responses of one shard are shorter.
+constexpr std::size_t FirstReadBytes = 4096;
+
 } // namespace
 
 /// Shared with handlers, which may outlive the connection object.
 struct http_connection::state : std::enable_shared_from_this<state> {
   state(boost::asio::io_context &Context, std::string_view Address)
-      : Stream(Context), Endpoint(parseTcpAddress(Address)) {}
+      : Socket(Context), Timer(Context), Endpoint(parseTcpAddress(Address)) {}
 
   void start(http_request NewRequest, std::chrono::milliseconds Timeout) {
     Request = internal::toBeast(std::move(NewRequest));
+    Serializer.emplace(Request);
+    Parser.emplace();
+    Parser->body_limit(MaxResponseBytes);
+    // The response to HEAD states a length and has no body.
+    Parser->skip(Request.method() == http::verb::head);
     Deadline = std::chrono::steady_clock::now() + Timeout;
     if (usable()) {
-      Stream.expires_at(Deadline);
+      expireAt(Deadline);
       return write();
     }
-    Stream.close();
+    Socket.close(Ignored);
     Buffer.clear();
-    Stream.expires_after(std::min(Timeout, ConnectTimeout));
-    Stream.async_connect(Endpoint, [Self = shared_from_this()](
+    connect(std::min(Timeout, ConnectTimeout));
+  }
+
+  void connect(std::chrono::milliseconds Timeout) {
+    expireAt(std::chrono::steady_clock::now() + Timeout);
+    Socket.async_connect(Endpoint, [Self = shared_from_this()](
                                        const boost::system::error_code &E) {
       if (E)
         return Self->fail(/*MayHaveRun=*/false, E);
       Self->Open = true;
-      internal::setTcpOptions(Self->Stream.socket());
-      Self->Stream.expires_at(Self->Deadline);
+      internal::setTcpOptions(Self->Socket);
+      boost::system::error_code Refused;
+      Self->Socket.non_blocking(true, Refused);
+      if (Refused)
+        return Self->fail(/*MayHaveRun=*/false, Refused);
+      Self->expireAt(Self->Deadline);
       Self->write();
     });
   }
 
+  // Most requests fit into the socket's buffer, and most responses come whole:
+  // each then takes one system call and one turn of the loop.
   void write() {
-    http::async_write(Stream, Request,
+    boost::system::error_code Error;
+    http::write(Socket, *Serializer, Error);
+    if (Error == boost::asio::error::would_block)
+      return writeRest();
+    if (Error)
+      return post([Error](state &Self) { Self.fail(true, Error); });
+    awaitResponse();
+  }
+
+  void writeRest() {
+    http::async_write(Socket, *Serializer,
                       [Self = shared_from_this()](
                           const boost::system::error_code &E, std::size_t) {
                         if (E)
                           return Self->fail(/*MayHaveRun=*/true, E);
-                        Self->read();
+                        Self->awaitResponse();
                       });
   }
 
+  void awaitResponse() {
+    Socket.async_wait(
+        tcp::socket::wait_read,
+        [Self = shared_from_this()](const boost::system::error_code &E) {
+          if (E)
+            return Self->fail(/*MayHaveRun=*/true, E);
+          Self->read();
+        });
+  }
+
   void read() {
-    Parser.emplace();
-    Parser->body_limit(MaxResponseBytes);
-    // The response to HEAD states a length and has no body.
-    Parser->skip(Request.method() == http::verb::head);
-    http::async_read(Stream, Buffer, *Parser,
+    boost::system::error_code Error;
+    std::size_t Bytes = Socket.read_some(Buffer.prepare(FirstReadBytes), Error);
+    if (Error == boost::asio::error::would_block)
+      return awaitResponse();
+    // An end of the connection may be the end of the response; a reset is not,
+    // and the next read would no longer tell it.
+    if (Error == boost::asio::error::eof)
+      return readRest();
+    if (Error)
+      return fail(/*MayHaveRun=*/true, Error);
+    Buffer.commit(Bytes);
+    Parser->eager(true);
+    Buffer.consume(Parser->put(Buffer.data(), Error));
+    if (Error && Error != http::error::need_more)
+      return fail(/*MayHaveRun=*/true, Error);
+    if (Parser->is_done())
+      return succeed();
+    readRest();
+  }
+
+  void readRest() {
+    http::async_read(Socket, Buffer, *Parser,
                      [Self = shared_from_this()](
                          const boost::system::error_code &E, std::size_t) {
                        if (E)
@@ -83,8 +140,6 @@
     // What follows a response before the next request belongs to none.
     if (Response.Close || Buffer.size() > 0)
       close();
-    else
-      Stream.expires_never();
     finish(std::move(Response));
   }
 
@@ -95,35 +150,62 @@
                   Error == boost::asio::error::broken_pipe ||
                   Error == http::error::end_of_stream ||
                   Error == http::error::partial_message;
-    finish(exchange_error{MayHaveRun, Error.message(), Closed});
+    finish(exchange_error{MayHaveRun, TimedOut ? "timeout" : Error.message(),
+                          Closed});
   }
 
   void finish(exchange_result Result) {
+    Timer.cancel();
     if (auto Callback = std::exchange(Done, nullptr))
       Callback(std::move(Result));
   }
 
+  /// Ends the step under way at \p Time, as an error.
+  void expireAt(std::chrono::steady_clock::time_point Time) {
+    TimedOut = false;
+    Timer.expires_at(Time);
+    Timer.async_wait(
+        [Self = shared_from_this()](const boost::system::error_code &E) {
+          bool Due = !E && Self->Done &&
+                     Self->Timer.expiry() <= std::chrono::steady_clock::now();
+          if (!Due)
+            return;
+          Self->TimedOut = true;
+          Self->Socket.close(Self->Ignored);
+        });
+  }
+
+  template <typename Task> void post(Task Run) {
+    boost::asio::post(Socket.get_executor(),
+                      [Self = shared_from_this(), Run] { Run(*Self); });
+  }
+
   void close() {
     Open = false;
-    Stream.close();
+    Socket.close(Ignored);
   }
 
   /// Whether the kept-alive connection is still open at the other end.
   bool usable() {
     if (!Open)
       return false;
-    Open = internal::peek(Stream.socket()) == boost::asio::error::would_block;
+    Open = internal::peek(Socket) == boost::asio::error::would_block;
     return Open;
   }
 
-  boost::beast::tcp_stream Stream;
+  tcp::socket Socket;
+  boost::asio::steady_timer Timer;
   tcp::endpoint Endpoint;
   boost::beast::flat_buffer Buffer;
   internal::beast_request Request;
+  std::optional<http::request_serializer<http::string_body>> Serializer;
   std::optional<http::response_parser<http::string_body>> Parser;
   std::function<void(exchange_result)> Done;
   std::chrono::steady_clock::time_point Deadline;
   bool Open = false;
+  bool TimedOut = false;
+  /// Of closing, which leaves no connection whatever it says.
+  boost::system::error_code Ignored;
 };
 
 http_connection::http_connection(boost::asio::io_context &Context,
--- a/tools/processes.sh
+++ b/tools/processes.sh
@@ -58,11 +58,13 @@
 answers() { curl -fsS --max-time 2 "http://$1$2"; }
 
 # write_settings FILE NAME DATA_CENTRE CALLERS PEERS PLATFORM
+# NODE_SETTINGS: further lines of the table [node].
 write_settings() {
   cat >"$1" <<SETTINGS
 [node]
 name = "$2"
 data_centre = "$3"
+${NODE_SETTINGS:-}
 [listen]
 callers = "$4"
 peers = "$5"
