Watch at copies of the store that lag, where the bounds leave the time

Ruled out: gathering changes for longer, which delays the news of a leaving upstream more than a lagging copy does and saves less; lists from copies, as only the newest list shows what a store told nobody before it dropped its history. Change: platform.configuration_within and platform.registrations_within say what bound holds; watchFreshness() decides.

--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -11,8 +11,7 @@
      "Data centre that this VM stands in."},
     {"node.one_request_thread", value_kind::Boolean, "false", 0, 0, "",
      "Whether callers, decisions and upstreams share a thread, which takes "
-     "less "
-     "processor time on a VM with a part of a core."},
+     "less processor time on a VM with a part of a core."},
     {"listen.callers", value_kind::Address, "", 0, 0, "",
      "Address that callers and the balancer reach over HTTP."},
     {"listen.pages", value_kind::Text, "\"-\"", 0, 0, "",
@@ -30,6 +29,14 @@
      "Longest wait for one answer of the platform, watches excepted."},
     {"platform.watch_wait", value_kind::Duration, "\"5s\"", 100, 60000, "",
      "How long a watch waits at the platform for a change."},
+    {"platform.configuration_within", value_kind::Duration, "\"1s\"", 100,
+     600000, "",
+     "Time from its acknowledgement in which a configuration has to be in "
+     "force "
+     "here. Where it is long enough, it is watched at copies of a store that "
+     "lag, which costs the platform less."},
+    {"platform.registrations_within", value_kind::Duration, "\"1s\"", 100,
+     600000, "", "The same for what upstreams register of themselves."},
     {"peers.exchange", value_kind::Boolean, "true", 0, 0, "",
      "Whether VMs exchange members, configuration and attempts."},
     {"peers.heartbeat_interval", value_kind::Duration, "\"500ms\"", 50, 10000,
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -24,6 +24,10 @@
   bool PlatformIsStore;
   std::chrono::milliseconds PlatformCallTimeout;
   std::chrono::milliseconds PlatformWatchWait;
+  /// Time in which a configuration has to be in force here.
+  std::chrono::milliseconds ConfigurationWithin;
+  /// Time in which a registration has to be in force here.
+  std::chrono::milliseconds RegistrationsWithin;
   bool PeersExchange;
   std::chrono::milliseconds HeartbeatInterval;
   std::chrono::milliseconds SuspectAfter;
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -42,11 +42,12 @@
                                    const platform_caller &Platform,
                                    const object_codec &Codec,
                                    std::chrono::milliseconds WatchWait,
+                                   std::chrono::milliseconds Within,
                                    counter_registry &Counters,
                                    discovery_ring &Control)
-    : Kind(std::move(Kind)), Clock(Clock), Feed(Platform, Codec),
-      WatchWait(WatchWait), Counters(Counters), Control(Control),
-      Backoff(FirstPause, LongestPause) {}
+    : Kind(std::move(Kind)), Clock(Clock),
+      Feed(Platform, Codec, watchFreshness(Within)), WatchWait(WatchWait),
+      Counters(Counters), Control(Control), Backoff(FirstPause, LongestPause) {}
 
 discovery_thread::~discovery_thread() { stop(); }
 
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -21,11 +21,13 @@
 /// they say.
 class discovery_thread {
 public:
-  /// \p Kind names what is followed, in logs and counters.
+  /// \p Kind names what is followed, in logs and counters. Changes have to be
+  /// in force \p Within that time of their acknowledgement.
   discovery_thread(std::string Kind, const clock &Clock,
                    const platform_caller &Platform, const object_codec &Codec,
                    std::chrono::milliseconds WatchWait,
-                   counter_registry &Counters, discovery_ring &Control);
+                   std::chrono::milliseconds Within, counter_registry &Counters,
+                   discovery_ring &Control);
   ~discovery_thread();
 
   void start();
--- a/packages/net/masticproxy/src/Net/object_codec.h
+++ b/packages/net/masticproxy/src/Net/object_codec.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_NET_OBJECT_CODEC_H
 
 #include "masticproxy/src/Discovery/discovery_event.h"
+#include "masticproxy/src/Discovery/read_freshness.h"
 #include "masticproxy/src/Net/http_message.h"
 #include "masticproxy/src/Net/platform_api.h"
 
@@ -40,9 +41,10 @@
   virtual http_request listRequest(std::string_view Name) const = 0;
 
   /// \returns the request for changes after \p Revision, which the platform
-  /// may hold back for \p Wait.
+  /// may hold back for \p Wait, from a source of this \p Freshness.
   virtual http_request watchRequest(std::uint64_t Revision,
-                                    std::chrono::milliseconds Wait) const = 0;
+                                    std::chrono::milliseconds Wait,
+                                    read_freshness Freshness) const = 0;
 
   virtual object_page_result readPage(const http_response &Answer) const = 0;
   virtual object_watch_result
--- a/packages/net/masticproxy/src/Net/object_feed.cpp
+++ b/packages/net/masticproxy/src/Net/object_feed.cpp
@@ -47,7 +47,8 @@
 }
 
 feed_result object_feed::watch(std::chrono::milliseconds Wait) {
-  auto Answer = Platform.call(Codec.watchRequest(*Revision, Wait), Wait);
+  auto Answer =
+      Platform.call(Codec.watchRequest(*Revision, Wait, WatchFreshness), Wait);
   if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
     return *Failure;
   auto Read = Codec.readChanges(std::get<http_response>(Answer));
--- a/packages/net/masticproxy/src/Net/object_feed.h
+++ b/packages/net/masticproxy/src/Net/object_feed.h
@@ -31,8 +31,11 @@
 /// failure and where the history is gone, then one watch after the other.
 class object_feed {
 public:
-  object_feed(const platform_caller &Platform, const object_codec &Codec)
-      : Platform(Platform), Codec(Codec) {}
+  /// Watches are answered from a source of \p WatchFreshness; lists always show
+  /// the newest.
+  object_feed(const platform_caller &Platform, const object_codec &Codec,
+              read_freshness WatchFreshness = read_freshness::Newest)
+      : Platform(Platform), Codec(Codec), WatchFreshness(WatchFreshness) {}
 
   /// Waits up to \p Wait for news. \returns them, or why there are none.
   feed_result next(std::chrono::milliseconds Wait);
@@ -43,6 +46,7 @@
 
   const platform_caller &Platform;
   const object_codec &Codec;
+  read_freshness WatchFreshness;
   /// Nothing where a list has to be read first.
   std::optional<std::uint64_t> Revision;
   /// Pages of the newest list.
--- a/packages/net/tests/object_feed_test.cpp
+++ b/packages/net/tests/object_feed_test.cpp
@@ -25,10 +25,11 @@
     Request.Target = "/list/" + std::string(Name);
     return Request;
   }
-  http_request watchRequest(std::uint64_t Revision,
-                            milliseconds) const override {
+  http_request watchRequest(std::uint64_t Revision, milliseconds,
+                            read_freshness Freshness) const override {
     http_request Request;
-    Request.Target = "/watch/" + std::to_string(Revision);
+    bool Lag = Freshness == read_freshness::MayLag;
+    Request.Target = (Lag ? "/lag/" : "/watch/") + std::to_string(Revision);
     return Request;
   }
   object_page_result readPage(const http_response &Answer) const override {
@@ -132,11 +133,12 @@
 
 /// Takes \p Steps steps of a feed against \p Script. \returns what was asked.
 std::vector<std::string> follow(std::vector<scripted_store::line> Script,
-                                int Steps, std::vector<feed_result> &Results) {
+                                int Steps, std::vector<feed_result> &Results,
+                                read_freshness Freshness = {}) {
   scripted_store Store(std::move(Script));
   platform_caller Caller(Store.address(), CallTimeout);
   plain_codec Codec;
-  object_feed Feed(Caller, Codec);
+  object_feed Feed(Caller, Codec, Freshness);
   for (int I = 0; I < Steps; ++I)
     Results.push_back(Feed.next(Wait));
   return Store.Asked;
@@ -194,6 +196,20 @@
   cr_assert(Asked == (targets{"/list/", "/watch/7", "/list/", "/watch/9"}));
 }
 
+// Only watches come from a copy that lags: what they miss comes with the next
+// one, and a list after a cut has to show what happened meanwhile.
+Test(object_feed, lists_the_newest_where_watches_may_lag) {
+  std::vector<feed_result> Results;
+  auto Asked = follow({{200, "list 7 a"},
+                       {200, "changes 8 a"},
+                       {503, ""},
+                       {200, "list 9 a"},
+                       {200, "changes 10 a"}},
+                      5, Results, read_freshness::MayLag);
+  cr_assert(Asked ==
+            (targets{"/list/", "/lag/7", "/lag/8", "/list/", "/lag/9"}));
+}
+
 Test(object_feed, lists_again_where_the_history_is_gone) {
   std::vector<feed_result> Results;
   auto Asked = follow(
