Let one of both kinds look for the end of an outage of the store

Ruled out: a list from a lagging copy after an outage, which may miss what the store told nobody before it dropped its history. Change: the configuration's thread waits for the registrations' first success, and asks by itself every 10 s only; pauses grow to 2.5 s, half of what the bounds allow after an outage.

--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -13,8 +13,11 @@
 
 constexpr std::chrono::milliseconds FirstPause{100};
 
-/// Short enough for a configuration to be in force in time after an outage.
-constexpr std::chrono::milliseconds LongestPause{1500};
+/// Half of the 5 s after an outage for which no bound holds yet.
+constexpr std::chrono::milliseconds LongestPause{2500};
+
+/// Longest pause of a thread whose leader looks for the end of an outage.
+constexpr std::chrono::milliseconds LongestFollowerPause{10000};
 
 /// Pause after news, so that changes in quick succession come with one call. It
 /// delays the news that an upstream is gone, which counts from its lapse.
@@ -51,6 +54,11 @@
 
 discovery_thread::~discovery_thread() { stop(); }
 
+void discovery_thread::waitFor(discovery_thread &Leader) {
+  Leader.Follower = this;
+  Backoff = retry_backoff(LongestFollowerPause, LongestFollowerPause);
+}
+
 void discovery_thread::start() {
   Thread = std::thread([this] { run(); });
 }
@@ -79,10 +87,16 @@
   feed_result Result = Feed.next(WatchWait);
   if (auto *Failure = std::get_if<platform_unavailable>(&Result))
     return onFailure(*Failure);
+  onSuccess();
+  take(std::get<feed_news>(Result));
+}
+
+void discovery_thread::onSuccess() {
   Backoff.onSuccess();
   if (!Reachable.exchange(true))
     logInfo("event=platform_answers kind=" + Kind);
-  take(std::get<feed_news>(Result));
+  if (Follower)
+    Follower->leaderSucceeded();
 }
 
 void discovery_thread::take(const feed_news &News) {
@@ -115,7 +129,7 @@
   bool First = Reachable.exchange(false);
   logWarning("event=platform_" + std::string(First ? "lost" : "still_lost") +
              " kind=" + Kind + " reason=\"" + Failure.Reason + "\"");
-  pause(pauseAfterFailure(Backoff));
+  pauseForLeader(pauseAfterFailure(Backoff));
 }
 
 void discovery_thread::pause(duration Span) {
@@ -123,6 +137,22 @@
   Wake.wait_for(Lock, Span, [this] { return Stopping; });
 }
 
+// A success of the leader from before the failure is no sign of the outage's
+// end, so it is forgotten first.
+void discovery_thread::pauseForLeader(duration Span) {
+  std::unique_lock<std::mutex> Lock(Mutex);
+  LeaderSucceeded = false;
+  Wake.wait_for(Lock, Span, [this] { return Stopping || LeaderSucceeded; });
+}
+
+void discovery_thread::leaderSucceeded() {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    LeaderSucceeded = true;
+  }
+  Wake.notify_all();
+}
+
 bool discovery_thread::stopping() {
   std::lock_guard<std::mutex> Lock(Mutex);
   return Stopping;
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -30,6 +30,10 @@
                    discovery_ring &Control);
   ~discovery_thread();
 
+  /// Lets \p Leader find the end of an outage: until it does, this thread
+  /// rarely asks. Before start() of both.
+  void waitFor(discovery_thread &Leader);
+
   void start();
 
   /// Takes the end of the call under way for no loss of the platform.
@@ -46,7 +50,12 @@
   void step();
   void take(const feed_news &News);
   void onFailure(const platform_unavailable &Failure);
+  void onSuccess();
   void pause(duration Span);
+  /// Waits up to \p Span, but no longer than for the leader's success.
+  void pauseForLeader(duration Span);
+  /// Ends a pauseForLeader().
+  void leaderSucceeded();
   /// \returns how long changes are gathered.
   duration gatherTime() const;
   bool stopping();
@@ -64,6 +73,9 @@
   std::mutex Mutex;
   std::condition_variable Wake;
   bool Stopping = false;
+  bool LeaderSucceeded = false;
+  /// Waits for this one, if not null.
+  discovery_thread *Follower = nullptr;
   std::thread Thread;
 };
 
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -136,6 +136,7 @@
     Callers.setCutOff([this] { return Engine.cutOff(); });
     Peers.connect(FromPeers);
     PlatformDuty.connect(FromPlatform);
+    ConfigurationDuty.waitFor(RegistrationDuty);
   }
 
   /// Names this start of the VM.
