Allow further attempts by a sliding window, not by what was saved up

Cause: on the grown sites a VM gets about a request a second. All VMs together had used 25 of about 640 further attempts that the users allow in 10 s. Ruled out: a larger saving, which would break the bound where all VMs use it at once. Change: window_budget counts first and further attempts of a sliding window; what is allowed besides the share comes back with each window. query.extra_load_saved is now query.extra_load_base, with query.extra_load_window.

--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -70,9 +70,13 @@
     {"query.hedge_part", value_kind::Number, "0.5", 0, 1, "",
      "Part of the extra load that hedges may take; failures may take all."},
     {"query.extra_load", value_kind::Number, "0.09", 0, 1, "",
-     "Further attempts at a shard of forwarded requests for each first one."},
-    {"query.extra_load_saved", value_kind::Number, "20", 0, 1000, "",
-     "Further attempts that a shard can save up while none is needed."},
+     "Further attempts at a shard of forwarded requests for each first one of "
+     "the window."},
+    {"query.extra_load_base", value_kind::Number, "20", 0, 1000, "",
+     "Further attempts at a shard in each window besides; this VM's part of "
+     "what all VMs together may send."},
+    {"query.extra_load_window", value_kind::Duration, "\"10s\"", 100, 600000,
+     "", "Length of the sliding window of both."},
     {"query.answer_margin", value_kind::Duration, "\"0ms\"", 0, 10000, "",
      "Time kept back from a target latency for an answer's way."},
     {"query.policy", value_kind::Choice, "\"adaptive\"", 0, 0, "adaptive|naive",
--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -76,7 +76,8 @@
   S.TroubleCost = Values.number("query.trouble_cost");
   S.HedgePart = Values.number("query.hedge_part");
   S.ExtraLoad = Values.number("query.extra_load");
-  S.ExtraLoadSaved = Values.number("query.extra_load_saved");
+  S.ExtraLoadBase = Values.number("query.extra_load_base");
+  S.ExtraLoadWindow = Values.span("query.extra_load_window");
   S.AnswerMargin = Values.span("query.answer_margin");
   S.QueryPolicy = Values.text("query.policy");
   S.BalancerLag = Values.span("leave.balancer_lag");
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -46,7 +46,8 @@
   double TroubleCost;
   double HedgePart;
   double ExtraLoad;
-  double ExtraLoadSaved;
+  double ExtraLoadBase;
+  std::chrono::milliseconds ExtraLoadWindow;
   std::chrono::milliseconds AnswerMargin;
   std::string QueryPolicy;
   std::chrono::milliseconds BalancerLag;
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -228,7 +228,7 @@
   if (Run.way() && Replicas.empty())
     return Run.giveUp(Shard);
   bool Retry = Run.wasAttempted(Shard);
-  if (Retry && !Upstreams.hasRetry(Run.loadBudget(Shard)))
+  if (Retry && !Upstreams.hasRetry(Run.loadBudget(Shard), Clock.now()))
     return Waiting.addForBudget({Ticket, Shard}, Run.line());
   // Not only where no replica is left: the policy goes on choosing among
   // replicas that all look bad, which costs a retry each.
@@ -252,10 +252,10 @@
 void query_engine::payFor(query_run &Run, std::size_t Shard, bool Retry) {
   std::string_view Budget = Run.loadBudget(Shard);
   if (Retry)
-    Upstreams.takeRetry(Budget);
+    Upstreams.takeRetry(Budget, Clock.now());
   // A request that starts over does work anew, so it earns nothing.
   else if (Run.generation() == 0 && Run.earns(Shard))
-    Upstreams.firstAttempt(Budget);
+    Upstreams.firstAttempt(Budget, Clock.now());
 }
 
 void query_engine::send(query_ticket Ticket, query_run &Run, std::size_t Shard,
--- a/packages/core/masticproxy/src/Query/query_engine_hedges.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_hedges.cpp
@@ -54,7 +54,7 @@
       replicasOf(*Run, Record.Shard), Run->tried(Record.Shard), Clock.now());
   bool Allowed = Chosen && Poison.mayStart(Run->fingerprint(), Chosen->Address);
   std::string_view Budget = Run->loadBudget(Record.Shard);
-  if (Allowed && Upstreams.takeHedge(Budget))
+  if (Allowed && Upstreams.takeHedge(Budget, Clock.now()))
     return send(Record.Ticket, *Run, Record.Shard, *Chosen,
                 attempt_kind::Hedge);
   // No replica or no budget at this instant: look again later.
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -34,20 +34,21 @@
                     Policy);
 }
 
-void upstream_table::firstAttempt(std::string_view Budget) {
-  std::visit([&](auto &P) { P.firstAttempt(Budget); }, Policy);
+void upstream_table::firstAttempt(std::string_view Budget, time_point Now) {
+  std::visit([&](auto &P) { P.firstAttempt(Budget, Now); }, Policy);
 }
 
-bool upstream_table::takeHedge(std::string_view Budget) {
-  return std::visit([&](auto &P) { return P.takeHedge(Budget); }, Policy);
+bool upstream_table::takeHedge(std::string_view Budget, time_point Now) {
+  return std::visit([&](auto &P) { return P.takeHedge(Budget, Now); }, Policy);
 }
 
-bool upstream_table::takeRetry(std::string_view Budget) {
-  return std::visit([&](auto &P) { return P.takeRetry(Budget); }, Policy);
+bool upstream_table::takeRetry(std::string_view Budget, time_point Now) {
+  return std::visit([&](auto &P) { return P.takeRetry(Budget, Now); }, Policy);
 }
 
-bool upstream_table::hasRetry(std::string_view Budget) const {
-  return std::visit([&](const auto &P) { return P.hasRetry(Budget); }, Policy);
+bool upstream_table::hasRetry(std::string_view Budget, time_point Now) const {
+  return std::visit([&](const auto &P) { return P.hasRetry(Budget, Now); },
+                    Policy);
 }
 
 bool upstream_table::servesBy(std::span<const replica> Replicas,
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -67,16 +67,16 @@
 
   /// Notes a first attempt at a shard, which earns a share of a further one.
   /// \p Budget names the load budget, here as below.
-  void firstAttempt(std::string_view Budget);
+  void firstAttempt(std::string_view Budget, time_point Now);
 
   /// \returns whether the load budget pays for a hedge.
-  bool takeHedge(std::string_view Budget);
+  bool takeHedge(std::string_view Budget, time_point Now);
 
   /// \returns whether the load budget pays for a retry.
-  bool takeRetry(std::string_view Budget);
+  bool takeRetry(std::string_view Budget, time_point Now);
 
   /// \returns whether takeRetry() would pay for one.
-  bool hasRetry(std::string_view Budget) const;
+  bool hasRetry(std::string_view Budget, time_point Now) const;
 
   /// \returns whether some replica of the data centre takes work by \p Latest,
   /// even if all of its places are taken now.
--- a/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.cpp
@@ -120,20 +120,32 @@
   State.HedgeDelay = std::max<duration>(Delay, LeastHedgeDelay);
 }
 
-bool adaptive_policy::hasRetry(std::string_view Name) const {
+void adaptive_policy::firstAttempt(std::string_view Name, time_point Now) {
   if (Name.empty())
-    return Shared.hasRetry();
-  auto Found = ByShard.find(Name);
-  return Found == ByShard.end() || Found->second.hasRetry();
+    return Shared.firstAttempt();
+  budgetOf(Name).firstAttempt(Now);
 }
 
-load_budget &adaptive_policy::budget(std::string_view Name) {
+bool adaptive_policy::takeHedge(std::string_view Name, time_point Now) {
+  return Name.empty() ? Shared.takeHedge() : budgetOf(Name).takeHedge(Now);
+}
+
+bool adaptive_policy::takeRetry(std::string_view Name, time_point Now) {
+  return Name.empty() ? Shared.takeRetry() : budgetOf(Name).takeRetry(Now);
+}
+
+bool adaptive_policy::hasRetry(std::string_view Name, time_point Now) const {
   if (Name.empty())
-    return Shared;
+    return Shared.hasRetry();
   auto Found = ByShard.find(Name);
+  return Found == ByShard.end() || Found->second.hasRetry(Now);
+}
+
+window_budget &adaptive_policy::budgetOf(std::string_view Shard) {
+  auto Found = ByShard.find(Shard);
   if (Found == ByShard.end())
-    Found =
-        ByShard.emplace(std::string(Name), load_budget(Tuning.PerShard)).first;
+    Found = ByShard.emplace(std::string(Shard), window_budget(Tuning.PerShard))
+                .first;
   return Found->second;
 }
 
--- a/packages/core/masticproxy/src/Routing/adaptive_policy.h
+++ b/packages/core/masticproxy/src/Routing/adaptive_policy.h
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Routing/latency_histogram.h"
 #include "masticproxy/src/Routing/load_budget.h"
 #include "masticproxy/src/Routing/policy_tuning.h"
+#include "masticproxy/src/Routing/window_budget.h"
 
 #include <map>
 #include <optional>
@@ -40,14 +41,10 @@
 
   /// \p Name is that of a shard with a budget of its own, or empty for the
   /// one that all others share; here as below.
-  void firstAttempt(std::string_view Name = {}) { budget(Name).firstAttempt(); }
-  bool takeHedge(std::string_view Name = {}) {
-    return budget(Name).takeHedge();
-  }
-  bool takeRetry(std::string_view Name = {}) {
-    return budget(Name).takeRetry();
-  }
-  bool hasRetry(std::string_view Name = {}) const;
+  void firstAttempt(std::string_view Name, time_point Now);
+  bool takeHedge(std::string_view Name, time_point Now);
+  bool takeRetry(std::string_view Name, time_point Now);
+  bool hasRetry(std::string_view Name, time_point Now) const;
 
 private:
   struct index_latency {
@@ -62,11 +59,11 @@
   double surcharge(const candidate &One, time_point Now) const;
   bool passesRamp(const candidate &One, double Readiest, time_point Now);
 
-  load_budget &budget(std::string_view Name);
+  window_budget &budgetOf(std::string_view Shard);
 
   policy_tuning Tuning;
   load_budget Shared;
-  std::map<std::string, load_budget, std::less<>> ByShard;
+  std::map<std::string, window_budget, std::less<>> ByShard;
   std::minstd_rand Random;
   std::map<std::string, index_latency, std::less<>> Indexes;
 };
--- a/packages/core/masticproxy/src/Routing/naive_policy.h
+++ b/packages/core/masticproxy/src/Routing/naive_policy.h
@@ -27,10 +27,10 @@
     return std::nullopt;
   }
   void observe(std::string_view, duration) {}
-  void firstAttempt(std::string_view) {}
-  bool takeHedge(std::string_view) { return false; }
-  bool takeRetry(std::string_view) { return true; }
-  bool hasRetry(std::string_view) const { return true; }
+  void firstAttempt(std::string_view, time_point) {}
+  bool takeHedge(std::string_view, time_point) { return false; }
+  bool takeRetry(std::string_view, time_point) { return true; }
+  bool hasRetry(std::string_view, time_point) const { return true; }
 
 private:
   std::minstd_rand Random;
--- a/packages/core/masticproxy/src/Routing/policy_tuning.h
+++ b/packages/core/masticproxy/src/Routing/policy_tuning.h
@@ -1,7 +1,7 @@
 #ifndef MASTICPROXY_ROUTING_POLICY_TUNING_H
 #define MASTICPROXY_ROUTING_POLICY_TUNING_H
 
-#include "masticproxy/src/Routing/load_budget.h"
+#include "masticproxy/src/Routing/window_budget.h"
 
 namespace masticproxy {
 
@@ -17,7 +17,7 @@
   /// attempt is refused, fails or has to be hedged.
   double TroubleCost = 0.0;
   /// Bounds of the budget that each shard of forwarded requests has.
-  load_budget_limits PerShard = {};
+  window_budget_limits PerShard = {};
 };
 
 } // namespace masticproxy
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -41,13 +41,12 @@
   }
 };
 
-load_budget_limits shardBudget(const node_settings &Settings) {
-  load_budget_limits Budget;
-  Budget.OrdinaryShare = Settings.ExtraLoad * Settings.HedgePart;
-  Budget.FaultShare = Settings.ExtraLoad - Budget.OrdinaryShare;
-  // Each of both parts saves up half.
-  Budget.Initial = Settings.ExtraLoadSaved / 2;
-  Budget.Capacity = Settings.ExtraLoadSaved / 2;
+window_budget_limits shardBudget(const node_settings &Settings) {
+  window_budget_limits Budget;
+  Budget.Share = Settings.ExtraLoad;
+  Budget.Base = Settings.ExtraLoadBase;
+  Budget.HedgePart = Settings.HedgePart;
+  Budget.Window = Settings.ExtraLoadWindow;
   return Budget;
 }
 
--- a/tools/measure_forward.sh
+++ b/tools/measure_forward.sh
@@ -32,6 +32,7 @@
     "listenAddrs.ready": f"127.0.0.1:{port + 2}",
     "internalPortRange.0": str(port + 3),
     "bounds.configApplyMs": "3000", "bounds.drainMs": "3000",
+    "bounds.budgetWindowS": "10",
     "platform.address": f"127.0.0.1:{port}",
 }
 text = open(sys.argv[1]).read()
