Hold it against an upstream when an attempt left to run gets no answer

Ruled out: stopped attempts, which end by this VM's own doing. Change: query_engine::tellsOfUpstream(). Test in forwarded_load_test, which failed before.

--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -303,12 +303,21 @@
     startWaiting(Next);
 }
 
+bool query_engine::tellsOfUpstream(const attempt_record &Cancelled,
+                                   attempt_failure Failure) {
+  bool NoAnswer = Failure == attempt_failure::Unknown ||
+                  Failure == attempt_failure::NotSent;
+  // One that was stopped ends by this VM's own doing; one that was left to run
+  // had all the time that its caller had.
+  return Failure == attempt_failure::Draining ||
+         (NoAnswer && !Cancelled.Stopped);
+}
+
 void query_engine::noteEnd(const attempt_record &Record,
                            const attempt_failure *Failure) {
   time_point Now = Clock.now();
-  // What a cancelled attempt ends with tells nothing of its upstream but that
-  // it drains; its age was noted when it was cancelled.
-  if (Record.Cancelled && !(Failure && *Failure == attempt_failure::Draining))
+  // The age of a cancelled attempt was noted when it was cancelled.
+  if (Record.Cancelled && !(Failure && tellsOfUpstream(Record, *Failure)))
     return;
   attempt_facts Facts{Record.Upstream, Record.Index, Record.Kind,
                       Now - Record.SentAt};
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -158,6 +158,10 @@
   /// \returns when an attempt is hedged while no latencies are known.
   std::optional<duration> firstHedgeDelay(const attempt_record &Record);
   void scheduleHedge(attempt_id Attempt, const attempt_record &Record);
+  /// \returns whether \p Failure of an attempt that was cancelled says
+  /// something of its upstream.
+  static bool tellsOfUpstream(const attempt_record &Cancelled,
+                              attempt_failure Failure);
   void noteEnd(const attempt_record &Record, const attempt_failure *Failure);
   /// Notes that the result of \p Attempt is not needed; with \p Stop the
   /// upstream is told.
--- a/packages/core/tests/forwarded_load_test.cpp
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -153,6 +153,23 @@
   cr_assert_not(staysWithinExtraShare(Generous));
 }
 
+// An upstream falls silent; its hedge is in time, and the attempt is left to
+// run until its deadline shows that no answer comes.
+Test(forwarded_load, leaves_an_upstream_that_never_answered_a_loser) {
+  forwarding_world World(1);
+  auto Silent = attemptsIn(World.arrive(1)).at(0);
+  for (const send_attempt &Hedge : attemptsIn(World.pass(milliseconds(100))))
+    World.answer(Hedge);
+  World.pass(milliseconds(500));
+  World.fail(Silent, attempt_failure::Unknown);
+  for (query_ticket Ticket = 2; Ticket <= 20; ++Ticket) {
+    auto Next = attemptsIn(World.arrive(Ticket)).at(0);
+    cr_assert(Next.Upstream != Silent.Upstream);
+    World.answer(Next);
+    World.pass(milliseconds(10));
+  }
+}
+
 // Many VMs share the callers, so that each gets about a request a second: what
 // these earn pays for a hedge of every sixth only.
 Test(forwarded_load, hedges_on_where_requests_are_rare) {
