Wait for the other kind's word only while it has lost the store too

Cause: found on reading the change: a call for the configuration that failed alone (a lost answer, one refusal) waited up to 10 s for a success of the registrations, whose watch can be silent for 20 s; a new configuration then came later than its bound. Change: the thread waits for its leader only while that does not reach the store, and looks at that under the lock. Test: asks_again_soon_after_a_call_that_failed_alone, with the stand-in refusing single calls; it failed before (3.3 s without the version).

--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -13,10 +13,11 @@
 
 constexpr std::chrono::milliseconds FirstPause{100};
 
-/// Half of the 5 s after an outage for which no bound holds yet.
+/// Short enough for what a call brings to be in force before the bounds hold
+/// again, which is 4 s after an outage.
 constexpr std::chrono::milliseconds LongestPause{2500};
 
-/// Longest pause of a thread whose leader looks for the end of an outage.
+/// Longest wait for the leader to reach the platform again.
 constexpr std::chrono::milliseconds LongestFollowerPause{10000};
 
 /// Pause after news, so that changes in quick succession come with one call. It
@@ -54,9 +55,9 @@
 
 discovery_thread::~discovery_thread() { stop(); }
 
-void discovery_thread::waitFor(discovery_thread &Leader) {
-  Leader.Follower = this;
-  Backoff = retry_backoff(LongestFollowerPause, LongestFollowerPause);
+void discovery_thread::waitFor(discovery_thread &NewLeader) {
+  Leader = &NewLeader;
+  NewLeader.Follower = this;
 }
 
 void discovery_thread::start() {
@@ -96,7 +97,7 @@
   if (!Reachable.exchange(true))
     logInfo("event=platform_answers kind=" + Kind);
   if (Follower)
-    Follower->leaderSucceeded();
+    Follower->wakeUp();
 }
 
 void discovery_thread::take(const feed_news &News) {
@@ -129,7 +130,10 @@
   bool First = Reachable.exchange(false);
   logWarning("event=platform_" + std::string(First ? "lost" : "still_lost") +
              " kind=" + Kind + " reason=\"" + Failure.Reason + "\"");
-  pauseForLeader(pauseAfterFailure(Backoff));
+  // A call that failed alone is no outage, and is made again soon.
+  if (Leader && !Leader->reachable())
+    return awaitLeader();
+  pause(pauseAfterFailure(Backoff));
 }
 
 void discovery_thread::pause(duration Span) {
@@ -137,19 +141,15 @@
   Wake.wait_for(Lock, Span, [this] { return Stopping; });
 }
 
-// A success of the leader from before the failure is no sign of the outage's
-// end, so it is forgotten first.
-void discovery_thread::pauseForLeader(duration Span) {
+void discovery_thread::awaitLeader() {
   std::unique_lock<std::mutex> Lock(Mutex);
-  LeaderSucceeded = false;
-  Wake.wait_for(Lock, Span, [this] { return Stopping || LeaderSucceeded; });
+  Wake.wait_for(Lock, LongestFollowerPause,
+                [this] { return Stopping || Leader->reachable(); });
 }
 
-void discovery_thread::leaderSucceeded() {
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    LeaderSucceeded = true;
-  }
+void discovery_thread::wakeUp() {
+  // Taken so that no wakeup falls between the follower's look and its wait.
+  { std::lock_guard<std::mutex> Lock(Mutex); }
   Wake.notify_all();
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -30,9 +30,9 @@
                    discovery_ring &Control);
   ~discovery_thread();
 
-  /// Lets \p Leader find the end of an outage: until it does, this thread
-  /// rarely asks. Before start() of both.
-  void waitFor(discovery_thread &Leader);
+  /// Lets \p NewLeader find the end of an outage: while it reaches the platform
+  /// no more, this thread rarely asks. Before start() of both.
+  void waitFor(discovery_thread &NewLeader);
 
   void start();
 
@@ -52,10 +52,10 @@
   void onFailure(const platform_unavailable &Failure);
   void onSuccess();
   void pause(duration Span);
-  /// Waits up to \p Span, but no longer than for the leader's success.
-  void pauseForLeader(duration Span);
-  /// Ends a pauseForLeader().
-  void leaderSucceeded();
+  /// Waits until the leader reaches the platform, but not for long.
+  void awaitLeader();
+  /// Lets awaitLeader() look again.
+  void wakeUp();
   /// \returns how long changes are gathered.
   duration gatherTime() const;
   bool stopping();
@@ -73,7 +73,8 @@
   std::mutex Mutex;
   std::condition_variable Wake;
   bool Stopping = false;
-  bool LeaderSucceeded = false;
+  /// Finds the end of an outage for this one, if not null.
+  const discovery_thread *Leader = nullptr;
   /// Waits for this one, if not null.
   discovery_thread *Follower = nullptr;
   std::thread Thread;
