Give up a shard for a request when none of its upstreams can be reached

The log of edge-gauteng-c-29 shows why: all servers of counter-desk~3 were down, each attempt failed to connect within 5 ms, and the next one followed at once, 200 a second for each request, as what never left is free of the load budget. Ruled out: polling of shards that wait (none of its functions in a profile of the processes) and a share of connections that shrank (no such refusal in the log). Change: after two rounds over all upstreams of a shard none of which left this VM, the shard is given up for that request; a request that needs just it is refused, "not run", and may come back after a second. Tests: gives_up_a_shard_none_of_whose_ upstreams_connects and refuses_at_once_what_no_upstream_can_be_reached_for, which failed before (1,000 attempts).

--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -225,7 +225,8 @@
   if (!Run.wantsAttempt(Shard))
     return;
   std::span<const replica> Replicas = replicasOf(Run, Shard);
-  if (Run.way() && Replicas.empty())
+  // No replica left makes it unreachable as well.
+  if (Run.way() && Run.unreachable(Shard, Replicas.size()))
     return Run.giveUp(Shard);
   bool Retry = Run.wasAttempted(Shard);
   if (Retry && !Upstreams.hasRetry(Run.loadBudget(Shard), Clock.now()))
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -14,6 +14,14 @@
 constexpr unsigned FirstRedirection = 300;
 constexpr unsigned FirstServerError = 500;
 
+/// How often each upstream of a shard is tried before the shard counts as
+/// unreachable: a second time, as one may be restarting.
+constexpr std::size_t UnreachableRounds = 2;
+
+/// Pause for a caller none of whose upstreams can be reached: a crashed one is
+/// back after seconds, and another VM may reach them.
+constexpr std::chrono::milliseconds UnreachableRetryAfter{1000};
+
 } // namespace
 
 query_run::query_run(query_arrived NewRequest, profile NewProfile,
@@ -91,7 +99,9 @@
                               attempt_failure Failure) {
   closeAttempt(Shard, Attempt);
   shard_state &State = Shards[Shard];
-  State.Arrived = State.Arrived || Failure != attempt_failure::NotSent;
+  bool Sent = Failure != attempt_failure::NotSent;
+  State.Arrived = State.Arrived || Sent;
+  State.Unsent = Sent ? 0 : State.Unsent + 1;
   bool MayHaveRun =
       Failure == attempt_failure::Unknown || Failure == attempt_failure::Failed;
   if (MayHaveRun) {
@@ -104,6 +114,10 @@
     State.Attempted = false;
 }
 
+bool query_run::unreachable(std::size_t Shard, std::size_t Replicas) const {
+  return Shards[Shard].Unsent >= UnreachableRounds * Replicas;
+}
+
 bool query_run::nothingRan() const {
   return !RanEarlier &&
          std::all_of(Shards.begin(), Shards.end(), [](const shard_state &S) {
@@ -159,6 +173,9 @@
                     answer_form::Whole};
   if (Claim.awaited())
     return not_run{"no claim was confirmed within the profile's wait"};
+  if (nothingRan() && hopeless())
+    return not_run{"no upstream that serves it can be reached",
+                   UnreachableRetryAfter};
   if (nothingRan())
     return not_run{"no upstream took the request within the profile's wait"};
   if (!Profile.MayRepeat)
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -112,6 +112,10 @@
   /// Notes that no upstream serves the shard.
   void giveUp(std::size_t Shard) { Shards[Shard].GivenUp = true; }
 
+  /// \returns whether none of the shard's \p Replicas upstreams can be reached:
+  /// attempts at each of them, one after the other, never left this VM.
+  bool unreachable(std::size_t Shard, std::size_t Replicas) const;
+
   /// \returns whether a second attempt may run beside the only open one.
   bool mayHedge(std::size_t Shard) const;
 
@@ -200,6 +204,8 @@
     unsigned Ran = 0;
     /// An attempt has reached an upstream, which may have refused it.
     bool Arrived = false;
+    /// Attempts in a row that never left this VM.
+    std::size_t Unsent = 0;
     /// A first attempt has earned its share of a further one.
     bool Earned = false;
     /// No upstream serves the shard.
--- a/packages/core/tests/forwarded_load_test.cpp
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -302,6 +302,54 @@
   }
 }
 
+namespace {
+
+/// Ends each open attempt at once: those at \p DownShard can't be connected
+/// to. \returns the attempts made in all.
+std::size_t attemptsWhileDown(forwarding_world &World,
+                              std::string_view DownShard,
+                              std::vector<engine_command> &Last) {
+  std::vector<send_attempt> Open = attemptsIn(Last);
+  std::size_t Made = Open.size();
+  while (!Open.empty() && Made < 1000) {
+    send_attempt Attempt = Open.back();
+    Open.pop_back();
+    bool Down = Attempt.Shard == DownShard;
+    Last = Down ? World.fail(Attempt, attempt_failure::NotSent)
+                : World.answer(Attempt);
+    for (const send_attempt &Next : attemptsIn(Last)) {
+      Open.insert(Open.begin(), Next);
+      ++Made;
+    }
+  }
+  return Made;
+}
+
+} // namespace
+
+// All servers of a shard are down: it is tried a few times, not until the time
+// for an answer comes.
+Test(forwarded_load, gives_up_a_shard_none_of_whose_upstreams_connects) {
+  forwarding_world World(4);
+  for (query_ticket Ticket = 1; Ticket <= 20; ++Ticket) {
+    std::vector<engine_command> Last = World.arrive(Ticket);
+    std::size_t Made = attemptsWhileDown(World, "s0", Last);
+    cr_assert(Made <= 3 + 2 * 3, "%zu attempts", Made);
+    auto *Answer = outcomeIn<answered>(Last);
+    cr_assert(Answer && Answer->Coverage.Answered == 3);
+  }
+}
+
+// All servers of a service are down, and the request needs one of them.
+Test(forwarded_load, refuses_at_once_what_no_upstream_can_be_reached_for) {
+  forwarding_world World(1);
+  std::vector<engine_command> Last = World.arrive(1, "whole");
+  std::size_t Made = attemptsWhileDown(World, "single", Last);
+  cr_assert(Made <= 2 * 3, "%zu attempts", Made);
+  auto *Refusal = outcomeIn<not_run>(Last);
+  cr_assert(Refusal && Refusal->RetryAfter == milliseconds(1000));
+}
+
 // All upstreams of a shard refuse or can't be connected to, in turns.
 Test(forwarded_load, pays_for_what_arrives_after_a_refusal) {
   forwarding_world World(1);
