--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -38,7 +38,7 @@
     return Found != Attempts.end() && !Found->second.Cancelled;
   });
   tellDrains();
-  probeSilent();
+  watchReach();
   return std::exchange(Commands, {});
 }
 
@@ -195,8 +195,10 @@
     Reach.heard(Event.Upstream);
 }
 
-void query_engine::probeSilent() {
+void query_engine::watchReach() {
   Reach.look();
+  // Attempts across a cut would hang until they time out.
+  Upstreams.speakToAll(Limits.AllDataCentres && !Reach.cutOff());
   for (std::string &Upstream : Reach.takeProbes())
     Commands.emplace_back(probe_upstream{std::move(Upstream)});
 }
@@ -225,8 +227,9 @@
   if (!Run.wantsAttempt(Shard))
     return;
   std::span<const replica> Replicas = replicasOf(Run, Shard);
-  // No replica left makes it unreachable as well.
-  if (Run.way() && Run.unreachable(Shard, Replicas.size()))
+  bool Reachable = Upstreams.withinReach(Replicas) &&
+                   !Run.unreachable(Shard, Replicas.size());
+  if (Run.way() && !Reachable)
     return Run.giveUp(Shard);
   bool Retry = Run.wasAttempted(Shard);
   if (Retry && !Upstreams.hasRetry(Run.loadBudget(Shard), Clock.now()))
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -125,7 +125,8 @@
   void on(const drain_notice &Event);
   void on(const caller_left &Event);
   void on(const upstream_probed &Event);
-  void probeSilent();
+  /// Looks for a cut, or for its end.
+  void watchReach();
   /// \returns whether \p Target is spoken to across data centres.
   bool isRemote(const replica &Target) const {
     return Limits.AllDataCentres && Target.DataCentre != Limits.DataCentre;
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -51,6 +51,11 @@
                     Policy);
 }
 
+bool upstream_table::withinReach(std::span<const replica> Replicas) const {
+  return std::any_of(Replicas.begin(), Replicas.end(),
+                     [this](const replica &One) { return mayChoose(One); });
+}
+
 bool upstream_table::servesBy(std::span<const replica> Replicas,
                               time_point Latest) const {
   return std::any_of(
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -39,6 +39,9 @@
   /// Lets the upstreams of all data centres be chosen, with \p Direct.
   void speakToAll(bool Direct) { AllDataCentres = Direct; }
 
+  /// \returns whether any of \p Replicas stands where this VM may ask.
+  bool withinReach(std::span<const replica> Replicas) const;
+
   /// Lets an upstream that keeps attempts waiting be avoided for a while.
   void suspectSlow(bool Suspect) { SuspectSlow = Suspect; }
 
--- a/packages/core/masticproxy/src/Routing/reach_monitor.cpp
+++ b/packages/core/masticproxy/src/Routing/reach_monitor.cpp
@@ -1,60 +1,80 @@
 #include "masticproxy/src/Routing/reach_monitor.h"
 
+#include <algorithm>
+
 using namespace masticproxy;
 
 namespace {
 
-/// Silence after which an upstream counts as out of reach: longer than pauses
-/// and slow answers, several times the usual latency.
-constexpr std::chrono::milliseconds SilenceLimit{700};
+/// Silence that makes others be probed: longer than pauses and slow answers.
+constexpr std::chrono::milliseconds SuspicionAfter{400};
 
-/// How long an upstream that was heard, and not asked since, is counted.
-constexpr std::chrono::seconds KnownFor{5};
+/// Further silence, of the probes too, that makes a cut.
+constexpr std::chrono::milliseconds ConfirmTime{300};
 
-/// Silent upstreams, of those counted, that make a cut: 4 of 5. Crashes and
-/// overload leave more than that.
-constexpr std::size_t CutNumerator = 4;
-constexpr std::size_t CutDenominator = 5;
+/// Silent upstreams that make a suspicion; fewer may have crashed.
+constexpr std::ptrdiff_t LeastSilent = 4;
 
 /// Least time between two looks, as each goes over all upstreams.
 constexpr std::chrono::milliseconds LookInterval{100};
 
-/// Fewer upstreams than this tell nothing.
-constexpr std::size_t LeastKnown = 4;
-
-/// Probes of one round, and the time between rounds.
+/// Probes of one round, and the time between rounds while a cut is suspected.
 constexpr std::size_t ProbesInRound = 6;
 constexpr std::chrono::milliseconds ProbeInterval{300};
 
+/// Time without a word after which a VM without requests probes: several times
+/// the pause between the requests of a VM that gets few.
+constexpr std::chrono::milliseconds QuietProbeInterval{2000};
+
+/// Upstreams remembered; all are forgotten beyond, and come back when asked.
+constexpr std::size_t MostRemembered = 8192;
+
 } // namespace
 
 void reach_monitor::sent(std::string_view Upstream) {
-  auto Found = Upstreams.find(Upstream);
-  if (Found == Upstreams.end())
-    Found = Upstreams.emplace(std::string(Upstream), upstream_state{}).first;
-  if (!Found->second.AskedAt)
-    Found->second.AskedAt = Clock.now();
+  if (AskedAt.size() >= MostRemembered)
+    AskedAt.clear();
+  auto Found = AskedAt.find(Upstream);
+  if (Found == AskedAt.end())
+    Found = AskedAt.emplace(std::string(Upstream), std::nullopt).first;
+  // An ask from before the last word would not count in a cut that follows.
+  if (!Found->second || *Found->second <= HeardAt)
+    Found->second = Clock.now();
 }
 
 void reach_monitor::heard(std::string_view Upstream) {
-  auto Found = Upstreams.find(Upstream);
-  if (Found == Upstreams.end())
+  auto Found = AskedAt.find(Upstream);
+  if (Found == AskedAt.end())
     return;
-  Found->second.AskedAt.reset();
-  Found->second.HeardAt = Clock.now();
+  Found->second.reset();
+  HeardAt = Clock.now();
+  SuspectedAt.reset();
+  Cut = false;
 }
 
 void reach_monitor::look() {
   if (Clock.now() - LookedAt < LookInterval)
     return;
   LookedAt = Clock.now();
-  std::size_t Known = 0;
-  std::size_t Silent = 0;
-  for (const auto &[Upstream, State] : Upstreams) {
-    Known += isKnown(State) ? 1 : 0;
-    Silent += isSilent(State) ? 1 : 0;
-  }
-  Cut = Known >= LeastKnown && Silent * CutDenominator >= Known * CutNumerator;
+  if (!suspects())
+    return;
+  if (!SuspectedAt)
+    SuspectedAt = Clock.now();
+  Cut = Clock.now() - *SuspectedAt >= ConfirmTime;
+}
+
+// Only what was asked after the last word counts: an upstream that crashed
+// earlier says nothing of the others.
+bool reach_monitor::suspects() const {
+  if (SuspectedAt)
+    return true;
+  time_point Latest = Clock.now() - SuspicionAfter;
+  if (HeardAt > Latest)
+    return false;
+  return std::count_if(AskedAt.begin(), AskedAt.end(), [&](const auto &Entry) {
+           const std::optional<time_point> &Asked = Entry.second;
+           return Asked && *Asked > HeardAt && *Asked <= Latest;
+         }) >= LeastSilent;
 }
 
 std::vector<std::string> reach_monitor::takeProbes() {
@@ -63,32 +83,23 @@
     return {};
   ProbedAt = Clock.now();
   std::vector<std::string> Probes;
-  auto Next = Upstreams.upper_bound(LastProbed);
-  for (std::size_t I = 0; I < Upstreams.size(); ++I) {
-    if (Next == Upstreams.end())
-      Next = Upstreams.begin();
-    if (isSilent(Next->second))
-      Probes.push_back(Next->first);
-    if (Probes.size() == ProbesInRound)
-      break;
+  auto Next = AskedAt.upper_bound(LastProbed);
+  for (std::size_t I = 0; I < std::min(ProbesInRound, AskedAt.size()); ++I) {
+    if (Next == AskedAt.end())
+      Next = AskedAt.begin();
+    Probes.push_back(Next->first);
     ++Next;
   }
-  if (!Probes.empty())
-    LastProbed = Probes.back();
+  LastProbed = Probes.back();
+  for (const std::string &Upstream : Probes)
+    sent(Upstream);
   return Probes;
 }
 
 std::optional<time_point> reach_monitor::nextProbe() const {
-  if (!Cut)
+  if (AskedAt.empty())
     return std::nullopt;
-  return ProbedAt + ProbeInterval;
-}
-
-bool reach_monitor::isSilent(const upstream_state &State) const {
-  return State.AskedAt && Clock.now() - *State.AskedAt >= SilenceLimit;
-}
-
-bool reach_monitor::isKnown(const upstream_state &State) const {
-  return State.AskedAt ? isSilent(State)
-                       : Clock.now() - State.HeardAt < KnownFor;
+  if (SuspectedAt)
+    return ProbedAt + ProbeInterval;
+  return std::max(HeardAt, ProbedAt) + QuietProbeInterval;
 }
--- a/packages/core/masticproxy/src/Routing/reach_monitor.h
+++ b/packages/core/masticproxy/src/Routing/reach_monitor.h
@@ -11,11 +11,12 @@
 
 namespace masticproxy {
 
-/// \brief Decides whether this VM is cut off from the upstreams of the other
-/// data centres, by the silence of nearly all of them together.
+/// \brief Finds out that this VM is cut off from the upstreams of other data
+/// centres: several of them are silent, probes of others too, and nothing was
+/// heard from any of them meanwhile.
 ///
-/// While it is, some of them are probed, so that it finds the end of the cut
-/// also without requests.
+/// While nothing is heard some upstreams are probed, so that a cut and its end
+/// are seen also without requests.
 class reach_monitor {
 public:
   explicit reach_monitor(const clock &Clock) : Clock(Clock) {}
@@ -26,33 +27,30 @@
   /// Notes that an upstream answered anything at all.
   void heard(std::string_view Upstream);
 
-  /// Compares what was sent with what was heard; does nothing where the last
-  /// look was a moment ago.
+  /// Judges what was sent and heard up to now; does nothing where the last look
+  /// was a moment ago.
   void look();
 
-  /// \returns whether nearly all upstreams asked lately were silent when last
-  /// looked at.
+  /// \returns whether the VM was cut off when last looked at.
   bool cutOff() const { return Cut; }
 
-  /// \returns the upstreams to probe now; none while the VM is not cut off.
+  /// \returns the upstreams to probe now; none while others are heard.
   std::vector<std::string> takeProbes();
 
   /// \returns when takeProbes() is due, if at all.
   std::optional<time_point> nextProbe() const;
 
 private:
-  struct upstream_state {
-    /// When it was first asked without an answer since.
-    std::optional<time_point> AskedAt;
-    time_point HeardAt{};
-  };
-
-  bool isSilent(const upstream_state &State) const;
-  bool isKnown(const upstream_state &State) const;
+  bool suspects() const;
 
   const clock &Clock;
-  std::map<std::string, upstream_state, std::less<>> Upstreams;
+  /// When each upstream without an answer was first asked after the last word
+  /// from any.
+  std::map<std::string, std::optional<time_point>, std::less<>> AskedAt;
+  /// When any of the upstreams was heard last.
+  time_point HeardAt{};
   time_point LookedAt{};
+  std::optional<time_point> SuspectedAt;
   bool Cut = false;
   time_point ProbedAt{};
   /// Where the next round of probes goes on.
--- a/packages/core/tests/forwarded_load_test.cpp
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -411,6 +411,43 @@
 
 namespace {
 
+/// Lets no upstream answer for as long as a VM takes to see that, while two
+/// requests come.
+void cutOffFromOthers(forwarding_world &World) {
+  for (query_ticket Ticket = 101; Ticket <= 102; ++Ticket) {
+    World.arrive(Ticket);
+    World.pass(milliseconds(500));
+    World.Engine.handle(caller_left{Ticket});
+  }
+}
+
+} // namespace
+
+// A data centre is cut off: its VMs ask the upstreams that they reach, and wait
+// for no others.
+Test(forwarded_load, asks_only_its_own_data_centre_while_cut_off) {
+  engine_limits Limits = forwarding_world::limits();
+  Limits.AllDataCentres = true;
+  forwarding_world World(8, /*Replicas=*/3, /*Coverage=*/0.75, Limits);
+  for (upstream_entry &Entry : World.Upstreams)
+    if (!Entry.Instance.ends_with("-0") || Entry.Shard == "s0")
+      Entry.DataCentre = "dc2";
+  World.publish();
+  cutOffFromOthers(World);
+  cr_assert(World.Engine.cutOff());
+  std::vector<engine_command> Last = World.arrive(1);
+  auto Open = attemptsIn(Last);
+  cr_assert(Open.size() == 7, "%zu attempts", Open.size());
+  for (const send_attempt &Attempt : Open) {
+    cr_assert(Attempt.Upstream.ends_with("-0"));
+    Last = World.answer(Attempt);
+  }
+  auto *Answer = outcomeIn<answered>(Last);
+  cr_assert(Answer && Answer->Coverage.Answered == 7);
+}
+
+namespace {
+
 /// \returns the hedges of the only straggler of a VM's first request.
 std::vector<send_attempt> hedgesAfterStart(forwarding_world &World) {
   auto First = attemptsIn(World.arrive(1));
--- a/packages/core/tests/reach_monitor_test.cpp
+++ b/packages/core/tests/reach_monitor_test.cpp
@@ -30,9 +30,24 @@
       Clock.advance(Step);
       for (int I = Silent; I < Upstreams; ++I)
         Monitor.heard(nameOf(I));
+      Monitor.look();
     }
   }
 
+  /// Lets \p Span pass without requests. \returns whether the VM took itself for
+  /// cut off meanwhile, while its probes are answered if \p Reached.
+  bool cutOffWhileQuiet(milliseconds Span, bool Reached) {
+    bool Seen = false;
+    for (milliseconds Past{0}; Past < Span; Past += Step) {
+      Clock.advance(Step);
+      Seen = cutOff() || Seen;
+      for (const std::string &Upstream : Monitor.takeProbes())
+        if (Reached)
+          Monitor.heard(Upstream);
+    }
+    return Seen;
+  }
+
   manual_clock Clock;
   reach_monitor Monitor{Clock};
 };
@@ -69,6 +84,44 @@
   cr_assert(not F.cutOff());
 }
 
+// Some upstreams crashed earlier, and then few requests come.
+Test(reach_monitor, takes_no_earlier_crash_for_a_cut) {
+  reach_fixture F;
+  F.run(milliseconds(2000), Upstreams / 4);
+  cr_assert(not F.cutOffWhileQuiet(std::chrono::seconds(10), true));
+}
+
+// Many VMs share the callers: a cut begins between two requests of this one,
+// which go to some of the upstreams only.
+Test(reach_monitor, sees_a_cut_by_the_first_request_after_it) {
+  reach_fixture F;
+  F.run(milliseconds(2000), 0);
+  F.Clock.advance(milliseconds(500));
+  for (int I = 0; I < Upstreams / 3; ++I)
+    F.Monitor.sent(nameOf(I));
+  cr_assert(F.cutOffWhileQuiet(milliseconds(900), false));
+}
+
+// The balancer sends callers to a data centre until all its VMs know of a cut.
+Test(reach_monitor, sees_a_cut_without_any_request) {
+  reach_fixture F;
+  F.run(milliseconds(2000), 0);
+  cr_assert(F.cutOffWhileQuiet(milliseconds(3000), false));
+}
+
+// The few upstreams that were asked are down, and others answer a probe.
+Test(reach_monitor, asks_others_before_it_takes_silence_for_a_cut) {
+  reach_fixture F;
+  F.run(milliseconds(2000), 0);
+  for (int I = 0; I < Upstreams / 4; ++I)
+    F.Monitor.sent(nameOf(I));
+  F.Clock.advance(milliseconds(500));
+  cr_assert(not F.cutOff());
+  for (const std::string &Upstream : F.Monitor.takeProbes())
+    F.Monitor.heard(Upstream);
+  cr_assert(not F.cutOffWhileQuiet(milliseconds(1500), true));
+}
+
 // The VM itself stood still: answers wait to be read.
 Test(reach_monitor, forgets_a_cut_once_upstreams_answer) {
   reach_fixture F;
