Refuse before any upstream is asked what a cut leaves too few shards for

Ruled out: relaying to VMs of other data centres (the cut holds for them too); a shorter memory of heard upstreams, which takes more crashes for cuts. While cut off only the own data centre is asked; what it can't serve is refused before any upstream is asked.

--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -138,7 +138,8 @@
   /// \returns the upstreams that serve a shard of \p Run now.
   std::span<const replica> replicasOf(const query_run &Run,
                                       std::size_t Shard) const;
-  /// Gives up the shards that no upstream serves, before any is asked.
+  /// Gives up the shards that no upstream within reach serves, before any is
+  /// asked.
   void giveUpUnserved(query_run &Run);
   /// Reacts to an attempt that ended without a result.
   void onFailure(const attempt_record &Record, const attempt_failed &Event);
--- a/packages/core/masticproxy/src/Query/query_engine_forward.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_forward.cpp
@@ -21,6 +21,6 @@
   if (!Run.way())
     return;
   for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
-    if (replicasOf(Run, I).empty())
+    if (!Upstreams.withinReach(replicasOf(Run, I)))
       Run.giveUp(I);
 }
--- a/packages/core/masticproxy/src/Routing/reach_monitor.cpp
+++ b/packages/core/masticproxy/src/Routing/reach_monitor.cpp
@@ -22,9 +22,9 @@
 constexpr std::size_t ProbesInRound = 6;
 constexpr std::chrono::milliseconds ProbeInterval{300};
 
-/// Time without a word after which a VM without requests probes: several times
-/// the pause between the requests of a VM that gets few.
-constexpr std::chrono::milliseconds QuietProbeInterval{2000};
+/// Time without a word after which a VM without requests probes; the balancer
+/// looks at a VM as often.
+constexpr std::chrono::milliseconds QuietProbeInterval{1000};
 
 /// Upstreams remembered; all are forgotten beyond, and come back when asked.
 constexpr std::size_t MostRemembered = 8192;
--- a/packages/core/tests/forwarded_load_test.cpp
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -411,9 +411,14 @@
 
 namespace {
 
-/// Lets no upstream answer for as long as a VM takes to see that, while two
+/// Leaves the VM's own data centre the first upstream of each shard but s0, and
+/// lets no upstream answer for as long as a VM takes to see that, while two
 /// requests come.
 void cutOffFromOthers(forwarding_world &World) {
+  for (upstream_entry &Entry : World.Upstreams)
+    if (!Entry.Instance.ends_with("-0") || Entry.Shard == "s0")
+      Entry.DataCentre = "dc2";
+  World.publish();
   for (query_ticket Ticket = 101; Ticket <= 102; ++Ticket) {
     World.arrive(Ticket);
     World.pass(milliseconds(500));
@@ -429,10 +434,6 @@
   engine_limits Limits = forwarding_world::limits();
   Limits.AllDataCentres = true;
   forwarding_world World(8, /*Replicas=*/3, /*Coverage=*/0.75, Limits);
-  for (upstream_entry &Entry : World.Upstreams)
-    if (!Entry.Instance.ends_with("-0") || Entry.Shard == "s0")
-      Entry.DataCentre = "dc2";
-  World.publish();
   cutOffFromOthers(World);
   cr_assert(World.Engine.cutOff());
   std::vector<engine_command> Last = World.arrive(1);
@@ -446,6 +447,18 @@
   cr_assert(Answer && Answer->Coverage.Answered == 7);
 }
 
+// The upstreams of a data centre that is cut off are too few for the coverage:
+// none of them works in vain, and the caller may come again at once.
+Test(forwarded_load, refuses_at_once_what_a_cut_leaves_too_few_shards_for) {
+  engine_limits Limits = forwarding_world::limits();
+  Limits.AllDataCentres = true;
+  forwarding_world World(8, /*Replicas=*/3, /*Coverage=*/0.95, Limits);
+  cutOffFromOthers(World);
+  std::vector<engine_command> Commands = World.arrive(1);
+  cr_assert(attemptsIn(Commands).empty());
+  cr_assert(outcomeIn<not_run>(Commands) != nullptr);
+}
+
 namespace {
 
 /// \returns the hedges of the only straggler of a VM's first request.
--- a/packages/core/tests/reach_monitor_test.cpp
+++ b/packages/core/tests/reach_monitor_test.cpp
@@ -34,8 +34,8 @@
     }
   }
 
-  /// Lets \p Span pass without requests. \returns whether the VM took itself for
-  /// cut off meanwhile, while its probes are answered if \p Reached.
+  /// Lets \p Span pass without requests. \returns whether the VM took itself
+  /// for cut off meanwhile, while its probes are answered if \p Reached.
   bool cutOffWhileQuiet(milliseconds Span, bool Reached) {
     bool Seen = false;
     for (milliseconds Past{0}; Past < Span; Past += Step) {
