Read the first list of a start from a copy that may lag

Ruled out: lists from copies later on, which are read because a watch may have missed something; a watch from the beginning of the history, which a VM started later lacks. Change: object_feed's first list comes from the same source as its watches. The test of lists says so now, and one more holds that a copy from before the dropped history is given up for the newest list.

--- a/packages/net/masticproxy/src/Net/object_codec.h
+++ b/packages/net/masticproxy/src/Net/object_codec.h
@@ -37,8 +37,10 @@
 public:
   virtual ~object_codec() = default;
 
-  /// \returns the request for the page of objects after \p Name.
-  virtual http_request listRequest(std::string_view Name) const = 0;
+  /// \returns the request for the page of objects after \p Name, from a source
+  /// of this \p Freshness.
+  virtual http_request listRequest(std::string_view Name,
+                                   read_freshness Freshness) const = 0;
 
   /// \returns the request for changes after \p Revision, which the platform
   /// may hold back for \p Wait, from a source of this \p Freshness.
--- a/packages/net/masticproxy/src/Net/object_feed.cpp
+++ b/packages/net/masticproxy/src/Net/object_feed.cpp
@@ -23,9 +23,12 @@
   std::optional<std::uint64_t> Oldest;
   std::string Continue;
   Pages = 0;
+  // At a start nothing was missed: what the list lacks comes with the watch. A
+  // later list is read because the watch may have missed something.
+  read_freshness Source = Listed ? read_freshness::Newest : Freshness;
   do {
     ++Pages;
-    auto Answer = Platform.call(Codec.listRequest(Continue));
+    auto Answer = Platform.call(Codec.listRequest(Continue, Source));
     if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
       return *Failure;
     auto Read = Codec.readPage(std::get<http_response>(Answer));
@@ -43,12 +46,13 @@
   News.Revision = *Oldest;
   News.Listed = true;
   Revision = Oldest;
+  Listed = true;
   return News;
 }
 
 feed_result object_feed::watch(std::chrono::milliseconds Wait) {
   auto Answer =
-      Platform.call(Codec.watchRequest(*Revision, Wait, WatchFreshness), Wait);
+      Platform.call(Codec.watchRequest(*Revision, Wait, Freshness), Wait);
   if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
     return *Failure;
   auto Read = Codec.readChanges(std::get<http_response>(Answer));
--- a/packages/net/masticproxy/src/Net/object_feed.h
+++ b/packages/net/masticproxy/src/Net/object_feed.h
@@ -31,11 +31,11 @@
 /// failure and where the history is gone, then one watch after the other.
 class object_feed {
 public:
-  /// Watches are answered from a source of \p WatchFreshness; lists always show
-  /// the newest.
+  /// The first list and all watches are answered from a source of \p Freshness;
+  /// later lists always show the newest.
   object_feed(const platform_caller &Platform, const object_codec &Codec,
-              read_freshness WatchFreshness = read_freshness::Newest)
-      : Platform(Platform), Codec(Codec), WatchFreshness(WatchFreshness) {}
+              read_freshness Freshness = read_freshness::Newest)
+      : Platform(Platform), Codec(Codec), Freshness(Freshness) {}
 
   /// Waits up to \p Wait for news. \returns them, or why there are none.
   feed_result next(std::chrono::milliseconds Wait);
@@ -46,7 +46,9 @@
 
   const platform_caller &Platform;
   const object_codec &Codec;
-  read_freshness WatchFreshness;
+  read_freshness Freshness;
+  /// Whether a complete list was read.
+  bool Listed = false;
   /// Nothing where a list has to be read first.
   std::optional<std::uint64_t> Revision;
   /// Pages of the newest list.
--- a/packages/net/tests/object_feed_test.cpp
+++ b/packages/net/tests/object_feed_test.cpp
@@ -20,9 +20,11 @@
 /// where another follows; changes are "changes REVISION NAME...".
 class plain_codec : public object_codec {
 public:
-  http_request listRequest(std::string_view Name) const override {
+  http_request listRequest(std::string_view Name,
+                           read_freshness Freshness) const override {
     http_request Request;
-    Request.Target = "/list/" + std::string(Name);
+    bool Lag = Freshness == read_freshness::MayLag;
+    Request.Target = (Lag ? "/copy/" : "/list/") + std::string(Name);
     return Request;
   }
   http_request watchRequest(std::uint64_t Revision, milliseconds,
@@ -196,9 +198,9 @@
   cr_assert(Asked == (targets{"/list/", "/watch/7", "/list/", "/watch/9"}));
 }
 
-// Only watches come from a copy that lags: what they miss comes with the next
-// one, and a list after a cut has to show what happened meanwhile.
-Test(object_feed, lists_the_newest_where_watches_may_lag) {
+// The first list and watches come from a copy that lags: what they miss comes
+// with the next watch. A list after a cut has to show what happened meanwhile.
+Test(object_feed, lists_the_newest_after_a_cut_where_reads_may_lag) {
   std::vector<feed_result> Results;
   auto Asked = follow({{200, "list 7 a"},
                        {200, "changes 8 a"},
@@ -207,7 +209,21 @@
                        {200, "changes 10 a"}},
                       5, Results, read_freshness::MayLag);
   cr_assert(Asked ==
-            (targets{"/list/", "/lag/7", "/lag/8", "/list/", "/lag/9"}));
+            (targets{"/copy/", "/lag/7", "/lag/8", "/list/", "/lag/9"}));
+}
+
+// A copy that lags behind the dropped history is no ground to start from.
+Test(object_feed, lists_the_newest_where_a_copy_was_older_than_the_history) {
+  std::vector<feed_result> Results;
+  auto Asked = follow({{503, ""},
+                       {200, "more 7 a"},
+                       {200, "list 7 b"},
+                       {410, ""},
+                       {200, "list 30 b"},
+                       {200, "changes 31 a"}},
+                      4, Results, read_freshness::MayLag);
+  cr_assert(Asked == (targets{"/copy/", "/copy/", "/copy/a", "/lag/7", "/list/",
+                              "/lag/30"}));
 }
 
 Test(object_feed, lists_again_where_the_history_is_gone) {
