--- a/packages/net/masticproxy/src/Net/object_feed.cpp
+++ b/packages/net/masticproxy/src/Net/object_feed.cpp
@@ -8,35 +8,16 @@
 using namespace masticproxy;
 
 feed_result object_feed::next(std::chrono::milliseconds Wait) {
-  feed_result Result = step(Wait);
-  Failed = std::holds_alternative<platform_unavailable>(Result);
+  if (!Revision)
+    return list();
+  feed_result Result = watch(Wait);
   // A platform that is about to lose its history can cut watches, and accept
   // new ones, before it tells the changes in between. Only a list is sure.
-  if (Failed)
+  if (std::holds_alternative<platform_unavailable>(Result))
     Revision.reset();
   return Result;
 }
 
-feed_result object_feed::step(std::chrono::milliseconds Wait) {
-  if (Revision)
-    return watch(Wait);
-  // The end of an outage is looked for with the call that costs least.
-  if (Failed)
-    if (auto Failure = probe())
-      return std::move(*Failure);
-  return list();
-}
-
-std::optional<platform_unavailable> object_feed::probe() {
-  auto Answer = Platform.call(Codec.listRequest({}, read_freshness::MayLag));
-  if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
-    return std::move(*Failure);
-  auto Read = Codec.readPage(std::get<http_response>(Answer));
-  if (auto *Failure = std::get_if<platform_unavailable>(&Read))
-    return std::move(*Failure);
-  return std::nullopt;
-}
-
 feed_result object_feed::list() {
   std::vector<platform_object> Objects;
   std::optional<std::uint64_t> Oldest;
--- a/packages/net/masticproxy/src/Net/object_feed.h
+++ b/packages/net/masticproxy/src/Net/object_feed.h
@@ -41,17 +41,12 @@
   feed_result next(std::chrono::milliseconds Wait);
 
 private:
-  feed_result step(std::chrono::milliseconds Wait);
-  /// \returns why the platform does not answer, or nothing where it does.
-  std::optional<platform_unavailable> probe();
   feed_result list();
   feed_result watch(std::chrono::milliseconds Wait);
 
   const platform_caller &Platform;
   const object_codec &Codec;
   read_freshness Freshness;
-  /// Whether the last step failed.
-  bool Failed = false;
   /// Whether a complete list was read.
   bool Listed = false;
   /// Nothing where a list has to be read first.
