End at once what the load budget allows no attempt for

Ruled out: a larger share of the budget, which would break the bound where all VMs use theirs; silent upstreams, as few attempts were open. Change: a shard of a forwarded request is given up where the budget allows no further attempt before the deadline, so that its caller can come again in time. Test: ends_at_once_what_the_budget_allows_no_attempt_for, which failed before.

--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -233,7 +233,7 @@
     return Run.giveUp(Shard);
   bool Retry = Run.wasAttempted(Shard);
   if (Retry && !Upstreams.hasRetry(Run.loadBudget(Shard), Clock.now()))
-    return Waiting.addForBudget({Ticket, Shard}, Run.line());
+    return awaitBudget(Ticket, Run, Shard);
   // Not only where no replica is left: the policy goes on choosing among
   // replicas that all look bad, which costs a retry each.
   if (startRelay(Ticket, Run, Shard))
@@ -253,6 +253,16 @@
        Retry ? attempt_kind::Retry : attempt_kind::First);
 }
 
+void query_engine::awaitBudget(query_ticket Ticket, query_run &Run,
+                               std::size_t Shard) {
+  // Its caller can come again, which is a first attempt and needs no budget.
+  bool InVain =
+      Run.way() && !Upstreams.hasRetry(Run.loadBudget(Shard), Run.deadline());
+  if (InVain)
+    return Run.giveUp(Shard);
+  Waiting.addForBudget({Ticket, Shard}, Run.line());
+}
+
 void query_engine::payFor(query_run &Run, std::size_t Shard, bool Retry) {
   std::string_view Budget = Run.loadBudget(Shard);
   if (Retry)
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -149,6 +149,9 @@
   void startShards(query_ticket Ticket, query_run &Run);
   void startShard(query_ticket Ticket, query_run &Run, std::size_t Shard);
   bool startRelay(query_ticket Ticket, query_run &Run, std::size_t Shard);
+  /// Lets a shard wait for the budget for extra load, or gives it up where that
+  /// allows nothing before the deadline.
+  void awaitBudget(query_ticket Ticket, query_run &Run, std::size_t Shard);
   /// Takes a retry from the budget for extra load, or pays a first attempt in.
   void payFor(query_run &Run, std::size_t Shard, bool Retry);
   void send(query_ticket Ticket, query_run &Run, std::size_t Shard,
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -18,8 +18,8 @@
 /// unreachable: a second time, as one may be restarting.
 constexpr std::size_t UnreachableRounds = 2;
 
-/// Pause for a caller none of whose upstreams can be reached: a crashed one is
-/// back after seconds, and another VM may reach them.
+/// Pause for a caller whose upstreams can't be reached or take nothing: a
+/// crashed one is back after seconds, and another VM may reach them.
 constexpr std::chrono::milliseconds UnreachableRetryAfter{1000};
 
 } // namespace
@@ -174,7 +174,7 @@
   if (Claim.awaited())
     return not_run{"no claim was confirmed within the profile's wait"};
   if (nothingRan() && hopeless())
-    return not_run{"no upstream that serves it can be reached",
+    return not_run{"no upstream that serves it can be reached, or takes it",
                    UnreachableRetryAfter};
   if (nothingRan())
     return not_run{"no upstream took the request within the profile's wait"};
--- a/packages/core/masticproxy/src/Routing/window_budget.h
+++ b/packages/core/masticproxy/src/Routing/window_budget.h
@@ -38,7 +38,8 @@
   /// \returns whether a retry may be sent now; it is paid for if so.
   bool takeRetry(time_point Now);
 
-  /// \returns whether takeRetry() would grant one.
+  /// \returns whether takeRetry() would grant one at \p Now, which may be later
+  /// than all that was sent.
   bool hasRetry(time_point Now) const;
 
 private:
--- a/packages/core/tests/forwarded_load_test.cpp
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -369,6 +369,32 @@
   cr_assert(Free == 0, "%d", Free);
 }
 
+// Many servers shed load, and the budget for further attempts is used up: the
+// caller hears so at once, in time to come again.
+Test(forwarded_load, ends_at_once_what_the_budget_allows_no_attempt_for) {
+  forwarding_world World(2, /*Replicas=*/3, /*Coverage=*/0.9);
+  for (query_ticket Ticket = 1; Ticket <= 20; ++Ticket) {
+    std::vector<engine_command> Last = World.arrive(Ticket);
+    auto Open = attemptsIn(Last);
+    while (!Open.empty()) {
+      bool Sheds = Open[0].Shard == "s0";
+      Last = Sheds ? World.fail(Open[0], attempt_failure::Refused)
+                   : World.answer(Open[0]);
+      Open.erase(Open.begin());
+      for (const send_attempt &Next : attemptsIn(Last))
+        Open.push_back(Next);
+    }
+    World.pass(milliseconds(40));
+    for (const send_attempt &Late : Open)
+      World.fail(Late, attempt_failure::Refused);
+  }
+  std::vector<engine_command> Last = World.arrive(21);
+  for (const send_attempt &Attempt : attemptsIn(Last))
+    Last = Attempt.Shard == "s0" ? World.fail(Attempt, attempt_failure::Refused)
+                                 : World.answer(Attempt);
+  cr_assert(outcomeIn<too_late>(Last) != nullptr);
+}
+
 // Upstreams are replaced and their addresses go to another shard: each attempt
 // there is extra load for that shard.
 Test(forwarded_load, asks_no_second_time_where_the_address_was_taken_over) {
