Close connections to upstreams that were not used for 5 s

In a burst or while servers shed, each VM asks all replicas, and kept what it opened. Ruled out: fewer connections for each VM, as one that gets much of the callers needs them.

--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -24,6 +24,10 @@
 /// The same where the share is a setting, which does not change.
 constexpr std::chrono::seconds OwnApplyInterval{1};
 
+/// How long a connection is kept without use where the share is a setting:
+/// several times the pause between the requests of a VM that gets few.
+constexpr std::chrono::seconds LongestUnused{5};
+
 } // namespace
 
 upstreams_thread::upstreams_thread(loop_thread &Loop, const clock &Clock,
@@ -158,11 +162,8 @@
   if (Held.Busy >= places(Upstream))
     return nullptr;
   ++Held.Busy;
-  if (!Held.Idle.empty()) {
-    connection Connection = std::move(Held.Idle.front());
-    Held.Idle.pop_front();
-    return Connection;
-  }
+  if (!Held.Idle.empty())
+    return Held.Idle.take();
   Counters.get("upstream_connections_total").add();
   return std::make_shared<http_connection>(Loop.context(), Upstream);
 }
@@ -174,7 +175,7 @@
   if (!Connection->warm())
     return;
   // A new connection is dear, so an idle one is kept while the share allows.
-  Held.Idle.push_front(std::move(Connection));
+  Held.Idle.keep(std::move(Connection), Clock.now());
   closeExcess(Upstream);
 }
 
@@ -203,13 +204,18 @@
   upstream_connections &Held = Connections[Upstream];
   unsigned Allowed = places(Upstream);
   while (!Held.Idle.empty() && Held.Idle.size() + Held.Busy > Allowed) {
-    Held.Idle.back()->close();
-    Held.Idle.pop_back();
+    Held.Idle.closeOldest();
     Counters.get("upstream_connections_closed_total").add();
   }
   return Held.Busy <= Allowed;
 }
 
+void upstreams_thread::closeUnused() {
+  for (auto &[Upstream, Held] : Connections)
+    Counters.get("upstream_connections_closed_total")
+        .add(Held.Idle.closeUnusedSince(Clock.now() - LongestUnused));
+}
+
 void upstreams_thread::scheduleApply() {
   ApplyTimer.expires_after(OwnConnections > 0 ? duration(OwnApplyInterval)
                                               : duration(ApplyInterval));
@@ -217,6 +223,9 @@
     if (Error)
       return;
     applyGrant();
+    // VMs that do not know of each other's shares leave each other room.
+    if (OwnConnections > 0)
+      closeUnused();
     scheduleApply();
   });
 }
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
@@ -5,13 +5,13 @@
 #include "masticproxy/src/Base/published.h"
 #include "masticproxy/src/Cluster/connection_grant.h"
 #include "masticproxy/src/Daemon/daemon_rings.h"
+#include "masticproxy/src/Daemon/idle_connections.h"
 #include "masticproxy/src/Daemon/loop_thread.h"
 #include "masticproxy/src/Net/http_connection.h"
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
-#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -47,12 +47,11 @@
   std::uint64_t appliedGrant() const { return AppliedGrant.load(); }
 
 private:
-  using connection = std::shared_ptr<http_connection>;
+  using connection = idle_connections::connection;
 
   /// The connections to one upstream.
   struct upstream_connections {
-    /// Last used first.
-    std::list<connection> Idle;
+    idle_connections Idle;
     unsigned Busy = 0;
     /// Connections the upstream accepts, over all VMs.
     unsigned Limit = 0;
@@ -75,6 +74,9 @@
   unsigned places(const std::string &Upstream) const;
   void applyGrant();
   bool closeExcess(const std::string &Upstream);
+  /// Closes connections that were not used for long, where other VMs may lack
+  /// them.
+  void closeUnused();
   void scheduleApply();
 
   const clock &Clock;
