--- a/packages/core/masticproxy/src/Query/query_account.h
+++ b/packages/core/masticproxy/src/Query/query_account.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_QUERY_QUERY_ACCOUNT_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Query/shard_gap.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -24,8 +25,8 @@
   std::size_t Shards = 0;
   /// Attempts sent for them: first ones, retries and hedges.
   std::size_t Attempts = 0;
-  /// Shards without a result, by their ids.
-  std::vector<std::string> Missing = {};
+  /// Shards without a result.
+  std::vector<shard_gap> Missing = {};
 };
 
 } // namespace masticproxy
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -227,10 +227,10 @@
   if (!Run.wantsAttempt(Shard))
     return;
   std::span<const replica> Replicas = replicasOf(Run, Shard);
-  bool Reachable = Upstreams.withinReach(Replicas) &&
-                   !Run.unreachable(Shard, Replicas.size());
-  if (Run.way() && !Reachable)
-    return Run.giveUp(Shard);
+  if (Run.way() && !Upstreams.withinReach(Replicas))
+    return Run.giveUp(Shard, gap_cause::OutOfReach);
+  if (Run.way() && Run.unreachable(Shard, Replicas.size()))
+    return Run.giveUp(Shard, gap_cause::NotConnected);
   bool Retry = Run.wasAttempted(Shard);
   if (Retry && !Upstreams.hasRetry(Run.loadBudget(Shard), Clock.now()))
     return awaitBudget(Ticket, Run, Shard);
@@ -259,7 +259,7 @@
   bool InVain =
       Run.way() && !Upstreams.hasRetry(Run.loadBudget(Shard), Run.deadline());
   if (InVain)
-    return Run.giveUp(Shard);
+    return Run.giveUp(Shard, gap_cause::NoBudget);
   Waiting.addForBudget({Ticket, Shard}, Run.line());
 }
 
--- a/packages/core/masticproxy/src/Query/query_engine_forward.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_forward.cpp
@@ -22,5 +22,5 @@
     return;
   for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
     if (!Upstreams.withinReach(replicasOf(Run, I)))
-      Run.giveUp(I);
+      Run.giveUp(I, gap_cause::OutOfReach);
 }
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -134,12 +134,13 @@
   SnapshotGone = false;
 }
 
-std::vector<std::string> query_run::missing() const {
-  std::vector<std::string> Ids;
+std::vector<shard_gap> query_run::missing() const {
+  std::vector<shard_gap> Gaps;
   for (std::size_t I = 0; I < Shards.size(); ++I)
     if (!Partial.has(I))
-      Ids.push_back(Snapshot->Shards[I].Id);
-  return Ids;
+      Gaps.push_back({Snapshot->Shards[I].Id,
+                      Shards[I].GivenUp.value_or(gap_cause::Late)});
+  return Gaps;
 }
 
 bool query_run::complete() const {
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -10,6 +10,7 @@
 #include "masticproxy/src/Query/query_outcome.h"
 #include "masticproxy/src/Query/route.h"
 #include "masticproxy/src/Query/run_claim.h"
+#include "masticproxy/src/Query/shard_gap.h"
 #include "masticproxy/src/Routing/waiting_list.h"
 
 #include <algorithm>
@@ -109,8 +110,10 @@
     return !std::exchange(Shards[Shard].Earned, true);
   }
 
-  /// Notes that no upstream serves the shard.
-  void giveUp(std::size_t Shard) { Shards[Shard].GivenUp = true; }
+  /// Notes that the shard gets no further attempt.
+  void giveUp(std::size_t Shard, gap_cause Cause) {
+    Shards[Shard].GivenUp = Cause;
+  }
 
   /// \returns whether none of the shard's \p Replicas upstreams can be reached:
   /// attempts at each of them, one after the other, never left this VM.
@@ -173,8 +176,8 @@
   /// \returns the attempts sent so far, those before a restart included.
   std::size_t attempts() const { return Attempts; }
 
-  /// \returns the ids of the shards without a result.
-  std::vector<std::string> missing() const;
+  /// \returns the shards without a result.
+  std::vector<shard_gap> missing() const;
 
   /// \returns whether every shard answered.
   bool complete() const;
@@ -208,8 +211,8 @@
     std::size_t Unsent = 0;
     /// A first attempt has earned its share of a further one.
     bool Earned = false;
-    /// No upstream serves the shard.
-    bool GivenUp = false;
+    /// Why the shard gets no further attempt, where that is so.
+    std::optional<gap_cause> GivenUp;
   };
 
   bool attemptsLeft(const shard_state &State) const;
--- a/packages/daemon/masticproxy/src/Daemon/request_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/request_log.cpp
@@ -4,6 +4,8 @@
 #include "masticproxy/src/Daemon/daemon_log.h"
 #include "masticproxy/src/Query/outcome_code.h"
 
+#include <span>
+
 using namespace masticproxy;
 
 namespace {
@@ -17,10 +19,14 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
 }
 
-std::string joined(const std::vector<std::string> &Words) {
+/// The shards of \p Gaps, each with the cause where it was given up.
+std::string gapsText(std::span<const shard_gap> Gaps) {
   std::string Text;
-  for (const std::string &Word : Words)
-    Text += (Text.empty() ? "" : ",") + Word;
+  for (const shard_gap &Gap : Gaps) {
+    Text += (Text.empty() ? "" : ",") + Gap.Shard;
+    if (Gap.Cause != gap_cause::Late)
+      Text += ":" + std::string(toString(Gap.Cause));
+  }
   return Text.empty() ? "-" : Text;
 }
 
@@ -71,7 +77,7 @@
         " took_ms=" + std::to_string(milliseconds(Account.Took)) +
         " shards=" + std::to_string(Account.Shards) +
         " attempts=" + std::to_string(Account.Attempts) +
-        " missing=" + joined(Account.Missing) + " reason=\"" +
+        " missing=" + gapsText(Account.Missing) + " reason=\"" +
         std::visit(reason_reader{}, Command.Outcome) + "\"");
 }
 
