--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -138,8 +138,8 @@
   bool Now = Engine.cutOff();
   if (CutOff.exchange(Now) == Now)
     return;
-  logWarning(Now ? "event=cut_off reason=\"nearly all upstreams of other data "
-                   "centres are silent\""
+  logWarning(Now ? "event=cut_off reason=\"nothing is heard from other data "
+                   "centres, probes included\""
                  : "event=reached_again");
 }
 
