Probe only upstreams that are registered

Cause: found on reading the change: the monitor of cuts remembered every upstream ever asked, up to 8,192. After months, or a repartition, most of them are gone; a VM without requests would probe six of these, hear nothing, and take itself for cut off. Ruled out: forgetting silent ones by age, as in a cut all are silent. Change: the engine tells the monitor which upstreams of other data centres the catalogue lists; others are dropped, and a VM that asked none yet probes too. Test: probes_no_upstream_that_is_gone.

--- a/packages/core/masticproxy/src/Query/query_catalogue.cpp
+++ b/packages/core/masticproxy/src/Query/query_catalogue.cpp
@@ -53,6 +53,18 @@
   return Found->second;
 }
 
+std::vector<std::string>
+query_catalogue::outside(std::string_view DataCentre) const {
+  std::vector<std::string> Addresses;
+  if (!Replicas)
+    return Addresses;
+  for (const auto &[Shard, Serving] : *Replicas)
+    for (const replica &One : Serving)
+      if (One.DataCentre != DataCentre)
+        Addresses.push_back(One.Address);
+  return Addresses;
+}
+
 std::vector<std::string> query_catalogue::profileNames() const {
   std::vector<std::string> Names;
   Names.reserve(Profiles.size());
--- a/packages/core/masticproxy/src/Query/query_catalogue.h
+++ b/packages/core/masticproxy/src/Query/query_catalogue.h
@@ -59,6 +59,9 @@
   /// \returns the replicas of \p Shard at this instant.
   std::span<const replica> replicasOf(const shard &Shard) const;
 
+  /// \returns the addresses of all replicas that stand outside \p DataCentre.
+  std::vector<std::string> outside(std::string_view DataCentre) const;
+
   /// \returns the names of all profiles.
   std::vector<std::string> profileNames() const;
 
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -170,6 +170,8 @@
   Catalogue = std::move(Event.Catalogue);
   Configured = true;
   Admission.setProfiles(Catalogue->profileNames());
+  if (Limits.AllDataCentres)
+    Reach.follow(Catalogue->outside(Limits.DataCentre));
   for (auto &[Ticket, Run] : Runs)
     restartIfDue(Ticket, Run);
 }
--- a/packages/core/masticproxy/src/Routing/reach_monitor.cpp
+++ b/packages/core/masticproxy/src/Routing/reach_monitor.cpp
@@ -26,17 +26,22 @@
 /// looks at a VM as often.
 constexpr std::chrono::milliseconds QuietProbeInterval{1000};
 
-/// Upstreams remembered; all are forgotten beyond, and come back when asked.
-constexpr std::size_t MostRemembered = 8192;
-
 } // namespace
 
+void reach_monitor::follow(std::span<const std::string> Upstreams) {
+  decltype(AskedAt) Followed;
+  for (const std::string &Upstream : Upstreams)
+    if (auto Known = AskedAt.extract(Upstream))
+      Followed.insert(std::move(Known));
+    else
+      Followed.emplace(Upstream, std::nullopt);
+  AskedAt = std::move(Followed);
+}
+
 void reach_monitor::sent(std::string_view Upstream) {
-  if (AskedAt.size() >= MostRemembered)
-    AskedAt.clear();
   auto Found = AskedAt.find(Upstream);
   if (Found == AskedAt.end())
-    Found = AskedAt.emplace(std::string(Upstream), std::nullopt).first;
+    return;
   // An ask from before the last word would not count in a cut that follows.
   if (!Found->second || *Found->second <= HeardAt)
     Found->second = Clock.now();
--- a/packages/core/masticproxy/src/Routing/reach_monitor.h
+++ b/packages/core/masticproxy/src/Routing/reach_monitor.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,10 +22,13 @@
 public:
   explicit reach_monitor(const clock &Clock) : Clock(Clock) {}
 
-  /// Notes that something was sent to an upstream of another data centre.
+  /// Replaces the upstreams of other data centres, by their addresses.
+  void follow(std::span<const std::string> Upstreams);
+
+  /// Notes that something was sent to \p Upstream, if it is followed.
   void sent(std::string_view Upstream);
 
-  /// Notes that an upstream answered anything at all.
+  /// Notes that \p Upstream answered anything at all, if it is followed.
   void heard(std::string_view Upstream);
 
   /// Judges what was sent and heard up to now; does nothing where the last look
--- a/packages/core/tests/reach_monitor_test.cpp
+++ b/packages/core/tests/reach_monitor_test.cpp
@@ -18,6 +18,15 @@
 
 /// Asks all upstreams again and again; the first \p Silent never answer.
 struct reach_fixture {
+  reach_fixture() { Monitor.follow(names(0, Upstreams)); }
+
+  static std::vector<std::string> names(int First, int Last) {
+    std::vector<std::string> Names;
+    for (int I = First; I < Last; ++I)
+      Names.push_back(nameOf(I));
+    return Names;
+  }
+
   bool cutOff() {
     Monitor.look();
     return Monitor.cutOff();
@@ -109,6 +118,16 @@
   cr_assert(F.cutOffWhileQuiet(milliseconds(3000), false));
 }
 
+// Upstreams come and go for months: a VM without requests must not probe those
+// that are gone, and take their silence for a cut.
+Test(reach_monitor, probes_no_upstream_that_is_gone) {
+  reach_fixture F;
+  F.run(milliseconds(1000), 0);
+  F.Monitor.follow(F.names(Upstreams - 1, Upstreams));
+  F.Clock.advance(std::chrono::seconds(2));
+  cr_assert(F.Monitor.takeProbes() == F.names(Upstreams - 1, Upstreams));
+}
+
 // The few upstreams that were asked are down, and others answer a probe.
 Test(reach_monitor, asks_others_before_it_takes_silence_for_a_cut) {
   reach_fixture F;
