--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -211,9 +211,10 @@
 }
 
 void upstreams_thread::closeUnused() {
+  counter &Closed = Counters.get("upstream_connections_closed_total");
+  time_point Oldest = Clock.now() - LongestUnused;
   for (auto &[Upstream, Held] : Connections)
-    Counters.get("upstream_connections_closed_total")
-        .add(Held.Idle.closeUnusedSince(Clock.now() - LongestUnused));
+    Closed.add(static_cast<std::int64_t>(Held.Idle.closeUnusedSince(Oldest)));
 }
 
 void upstreams_thread::scheduleApply() {
