Build the results of edits so that GCC 12 does not take them for uninitialized

Change: both are assigned in two small functions, as elsewhere in the daemon. No behaviour changed. Measured: object_editor.cpp compiles with the sanitizer build's own command, which failed before.

--- a/packages/ctl/masticproxy/src/Ctl/object_editor.cpp
+++ b/packages/ctl/masticproxy/src/Ctl/object_editor.cpp
@@ -22,6 +22,23 @@
   return {Object ? Object->Version : 0, true};
 }
 
+// The two below are assigned, not constructed: GCC 12 takes the members of an
+// empty optional for read uninitialized where a result is built in place.
+
+/// The outcome of a write that may have taken effect.
+edit_result unknownEdit(const std::string &Reason) {
+  edit_result Result(std::in_place_type<edit_unknown>);
+  std::get<edit_unknown>(Result).Reason = Reason;
+  return Result;
+}
+
+/// The outcome of a write that found \p Current, without a read before it.
+edit_result conflictWith(const std::optional<platform_object> &Current) {
+  edit_result Result(std::in_place_type<edit_conflict>);
+  std::get<edit_conflict>(Result).Current = Current;
+  return Result;
+}
+
 } // namespace
 
 edit_result object_editor::apply(std::string_view Kind, std::string_view Name,
@@ -86,7 +103,7 @@
   if (auto *Object = std::get_if<platform_object>(&First))
     return edit_applied{Object->Version, false};
   if (auto *Conflict = std::get_if<platform_conflict>(&First))
-    return edit_conflict{Conflict->Current};
+    return conflictWith(Conflict->Current);
   std::string Reason = std::get<platform_unavailable>(First).Reason;
   platform_write_result Again = retry(Write);
   if (auto *Object = std::get_if<platform_object>(&Again))
@@ -97,7 +114,7 @@
     return edit_applied{0, true};
   if (Conflict)
     return edit_unknown{Reason, Conflict->Current};
-  return edit_unknown{Reason};
+  return unknownEdit(Reason);
 }
 
 platform_write_result object_editor::retry(const attempt &Attempt) {
@@ -117,7 +134,7 @@
       return foundApplied(Read);
   }
   // The write may still arrive, or another edit may have followed it.
-  return edit_unknown{Reason};
+  return unknownEdit(Reason);
 }
 
 std::string masticproxy::markEdit(std::string_view Kind, std::string_view Text,
