End a cut once no upstream of another data centre is registered

Cause: found by reading. reach_monitor ends a cut when any followed upstream is heard. If all upstreams of other data centres are deregistered while a VM is cut off, none is followed or probed, so the VM stayed not ready, and asked its own data centre only, until one was registered again.

Ruled out: an end by time, as a cut can last for minutes.

Change: follow() with no upstreams ends the cut.

Before: ends_a_cut_once_no_upstream_is_left fails on the old code. After: 13 of 13 tests of the module pass.

--- a/packages/core/masticproxy/src/Routing/reach_monitor.cpp
+++ b/packages/core/masticproxy/src/Routing/reach_monitor.cpp
@@ -36,6 +36,9 @@
     else
       Followed.emplace(Upstream, std::nullopt);
   AskedAt = std::move(Followed);
+  // Without any to hear, nothing else would end a cut.
+  if (AskedAt.empty())
+    endCut();
 }
 
 void reach_monitor::sent(std::string_view Upstream) {
@@ -53,6 +56,10 @@
     return;
   Found->second.reset();
   HeardAt = Clock.now();
+  endCut();
+}
+
+void reach_monitor::endCut() {
   SuspectedAt.reset();
   Cut = false;
 }
--- a/packages/core/masticproxy/src/Routing/reach_monitor.h
+++ b/packages/core/masticproxy/src/Routing/reach_monitor.h
@@ -22,7 +22,8 @@
 public:
   explicit reach_monitor(const clock &Clock) : Clock(Clock) {}
 
-  /// Replaces the upstreams of other data centres, by their addresses.
+  /// Replaces the upstreams of other data centres, by their addresses. With
+  /// none of them no cut can be seen, so one that was seen ends.
   void follow(std::span<const std::string> Upstreams);
 
   /// Notes that something was sent to \p Upstream, if it is followed.
@@ -46,6 +47,7 @@
 
 private:
   bool suspects() const;
+  void endCut();
 
   const clock &Clock;
   /// When each upstream without an answer was first asked after the last word
--- a/packages/core/tests/reach_monitor_test.cpp
+++ b/packages/core/tests/reach_monitor_test.cpp
@@ -166,6 +166,21 @@
   cr_assert(Waited <= milliseconds(1000));
 }
 
+// A VM is cut off while the upstreams of other data centres are taken away:
+// with none left to reach there is nothing that it could be cut off from.
+Test(reach_monitor, ends_a_cut_once_no_upstream_is_left) {
+  reach_fixture F;
+  F.run(milliseconds(2000), Upstreams);
+  cr_assert(F.cutOff());
+  F.Monitor.follow({});
+  cr_assert(not F.cutOff());
+  cr_assert(not F.Monitor.nextProbe());
+  // Those that come later are followed as after a start.
+  F.Monitor.follow(F.names(0, Upstreams));
+  F.run(milliseconds(1000), 0);
+  cr_assert(not F.cutOff());
+}
+
 Test(reach_monitor, probes_few_at_a_time_and_all_in_turn) {
   reach_fixture F;
   F.run(milliseconds(2000), Upstreams);
