Let the innocent query of the poison test have an upstream left

Cause, traced from the logs of two failures in 60 runs of the test under the address sanitizer, 16 side by side: VM 0 condemned the query after two deaths of shard 0, and the next send reached VM 1 four milliseconds before the notice did, or while VM 1's attempt was under way. The third upstream of shard 0 died. Three deaths are within the bound of the test, but the shard has three replicas, which are back after 2 s, and the profile waits for 1 s: no system could answer the innocent query that the test asks next. The bounds of the test contradicted each other.

Ruled out: a longer memory of failures, as the attempts went on for as long as the load budget lasted and all were refused connections; the load alone, as the order of the two notices decides.

Change: four replicas, so that one is left after three deaths. Both bounds are as they were.

Left: the query's 18 retries against refused connections were spent within 6 ms, so that an upstream that comes back after them is not tried; this is so for requests of the product's own interface only.

--- a/packages/testing/tests/poison_test.cpp
+++ b/packages/testing/tests/poison_test.cpp
@@ -19,6 +19,10 @@
 constexpr int Sends = 20;
 constexpr int MaxDeaths = 3;
 
+/// As the harness has them where a test does not say otherwise.
+constexpr unsigned Shards = 4;
+constexpr unsigned UsualReplicas = 3;
+
 bool inForce(test_cluster &Cluster, std::size_t Vm) {
   std::string Status = Cluster.get(Cluster.callersAddress(Vm), "/v1/status");
   return Status.find("order") != std::string::npos &&
@@ -39,10 +43,10 @@
   return nlohmann::json::parse(Response->Body).value("code", "none");
 }
 
-int deathsIn(test_cluster &Cluster) {
+int deathsIn(test_cluster &Cluster, unsigned Replicas) {
   int Deaths = 0;
-  for (unsigned I = 0; I < 12; ++I) {
-    std::string Address = Cluster.upstreamAddress(I / 3, I % 3);
+  for (unsigned I = 0; I < Shards * Replicas; ++I) {
+    std::string Address = Cluster.upstreamAddress(I / Replicas, I % Replicas);
     // An upstream that died listens again after a while.
     cr_assert(Cluster.waitUntil(
         [&] { return !Cluster.get(Address, "/stub/counts").empty(); }));
@@ -55,7 +59,10 @@
 } // namespace
 
 Test(poison, an_idempotent_one_sent_again_kills_few) {
-  test_cluster Cluster({.FirstPort = 22700});
+  // The deaths are all of one shard. With one replica more than there may be
+  // deaths, an innocent query can always be answered.
+  constexpr unsigned Replicas = MaxDeaths + 1;
+  test_cluster Cluster({.FirstPort = 22700, .Replicas = Replicas});
   startWithProfiles(Cluster, 2);
   std::string Last;
   for (int I = 0; I < Sends; ++I)
@@ -63,7 +70,7 @@
   cr_assert(Last == "condemned");
   std::string Innocent = codeOf(Cluster.query(0, "lookup", "", "{}"));
   cr_assert(Innocent == "answered", "%s", Innocent.c_str());
-  int Deaths = deathsIn(Cluster);
+  int Deaths = deathsIn(Cluster, Replicas);
   cr_assert(Deaths <= MaxDeaths, "%d deaths", Deaths);
 }
 
@@ -75,7 +82,7 @@
   for (int I = 0; I < Sends; ++I)
     Last = codeOf(Cluster.query(I % 3, "order", "", "poison"));
   cr_assert(Last == "condemned");
-  int Deaths = deathsIn(Cluster);
+  int Deaths = deathsIn(Cluster, UsualReplicas);
   cr_assert(Deaths <= MaxDeaths, "%d deaths", Deaths);
 }
 
