Heed SIGTERM from the first line of main on

Cause: the daemon blocked its signals after it had read its settings, so that a SIGTERM or SIGHUP before that ended it by the signal's default. A rolling restart that meets a process which has just started then sees exit code 143 instead of a leave in order.

Ruled out: a fault in leaving; none of these processes had written `started`.

Change: signals are blocked first of all. What arrives before main() runs, while the libraries are loaded, can't be helped by the program; nothing has been taken then.

Before: starting_test fails (the settings file is a pipe, so that the signal surely comes while it is read). After: it passes.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -52,7 +52,22 @@
   }
 }
 
+/// Blocks the signals that waitForLeave() waits for. \returns them.
+sigset_t blockSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  sigaddset(&Signals, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  return Signals;
+}
+
 int run(int ArgCount, char **Args) {
+  // At once, so that a process that is stopped or reloaded while it starts
+  // does not die of the signal; and before any thread inherits the mask.
+  sigset_t Signals = blockSignals();
+  std::signal(SIGPIPE, SIG_IGN);
   daemon_options Options = readDaemonOptions(ArgCount, Args);
   if (Options.ShowHelp) {
     std::cout << daemonHelp();
@@ -71,15 +86,6 @@
     std::cout << Options.SettingsFile << ": good\n";
     return ExitGood;
   }
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  sigaddset(&Signals, SIGHUP);
-  // Blocked before any thread starts, so that only sigwait() sees them.
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-
   setUpLog(Settings.LogLevel, Settings.Name);
   entry_daemon Daemon(std::move(Settings));
   Daemon.start();
