A fault soak of real processes, first version

Random faults by a seed against real daemons on loopback, with the deployed settings: processes killed, terminated and paused; links to upstreams and to the store delayed, reset, cut one way or silenced by a proxy; a store that is down or forgets its history; configurations in series; upstreams that drain, are slow, refuse or fail.

--- a/packages/testing/masticproxy/src/Harness/child_process.cpp
+++ b/packages/testing/masticproxy/src/Harness/child_process.cpp
@@ -25,6 +25,8 @@
                  0644); // NOLINT(cppcoreguidelines-pro-type-vararg)
   dup2(Log, STDOUT_FILENO);
   dup2(Log, STDERR_FILENO);
+  // Connections of the test that the child held too would not end with it.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   sigset_t None;
   sigemptyset(&None);
   sigprocmask(SIG_SETMASK, &None, nullptr);
--- /dev/null
+++ b/soak/fault_plan.cpp
@@ -0,0 +1,111 @@
+#include "fault_plan.h"
+
+#include "soak_options.h"
+
+#include <algorithm>
+#include <random>
+
+using namespace masticproxy::soak;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Time between the starts of two series at most.
+constexpr unsigned LongestGapMs = 1500;
+
+/// Faults of one series, and the time between them, at most.
+constexpr unsigned LongestSeries = 4;
+constexpr unsigned SeriesGapMs = 700;
+
+/// How long a fault lasts: from well below a time-out to well above one.
+constexpr unsigned ShortestMs = 200;
+constexpr unsigned LongestMs = 4500;
+
+/// \brief Draws faults from one seed.
+class fault_draws {
+public:
+  fault_draws(const soak_options &Options, unsigned Upstreams)
+      : Random(Options.Seed), Vms(Options.Vms), Upstreams(Upstreams) {}
+
+  /// \returns a number from [\p First, \p Last]. The library's distributions
+  /// may differ from one system to the next, and so would the plan of a seed.
+  unsigned number(unsigned First, unsigned Last) {
+    return First + static_cast<unsigned>(Random() % (Last - First + 1));
+  }
+
+  milliseconds span(unsigned First, unsigned Last) {
+    return milliseconds(number(First, Last));
+  }
+
+  /// \returns any fault; those of VMs and links come more often.
+  fault any() {
+    switch (number(0, 16)) {
+    case 0:
+    case 1:
+      return vm_killed{vm()};
+    case 2:
+    case 3:
+    case 4:
+      return vm_terminated{vm()};
+    case 5:
+      return vm_paused{vm()};
+    case 6:
+    case 7:
+      return upstream_link_harmed{upstream(), mode()};
+    case 8:
+      return store_link_harmed{vm(), mode()};
+    case 9:
+      return store_down{};
+    case 10:
+      return store_compacted{};
+    case 11:
+    case 12:
+      return configuration_written{};
+    case 13:
+      return upstream_drained{upstream()};
+    case 14:
+      return upstream_slowed{upstream()};
+    case 15:
+      return upstream_refusing{upstream()};
+    default:
+      return upstream_failing{upstream()};
+    }
+  }
+
+private:
+  unsigned vm() { return number(0, Vms - 1); }
+  unsigned upstream() { return number(0, Upstreams - 1); }
+  link_mode mode() {
+    constexpr link_mode Harms[] = {link_mode::Delayed, link_mode::Resetting,
+                                   link_mode::OneWay, link_mode::Silent};
+    return Harms[number(0, std::size(Harms) - 1)];
+  }
+
+  std::mt19937 Random;
+  unsigned Vms;
+  unsigned Upstreams;
+};
+
+} // namespace
+
+std::vector<planned_fault>
+masticproxy::soak::planFaults(const soak_options &Options, unsigned Upstreams) {
+  fault_draws Draws(Options, Upstreams);
+  std::vector<planned_fault> Plan;
+  for (milliseconds At{0}; At < Options.Length;
+       At += Draws.span(0, LongestGapMs)) {
+    milliseconds Next = At;
+    for (unsigned Left = Draws.number(1, LongestSeries); Left > 0; --Left) {
+      if (Next >= Options.Length)
+        break;
+      milliseconds Span = Draws.span(ShortestMs, LongestMs);
+      Plan.push_back({Next, Span, Draws.any()});
+      Next += Draws.span(0, SeriesGapMs);
+    }
+  }
+  std::stable_sort(Plan.begin(), Plan.end(),
+                   [](const planned_fault &A, const planned_fault &B) {
+                     return A.At < B.At;
+                   });
+  return Plan;
+}
--- /dev/null
+++ b/soak/soak_vm.h
@@ -0,0 +1,55 @@
+#ifndef MASTICPROXY_SOAK_SOAK_VM_H
+#define MASTICPROXY_SOAK_SOAK_VM_H
+
+#include "masticproxy/Harness"
+#include "masticproxy/src/Base/clock.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticproxy::soak {
+
+class promise_book;
+
+/// \brief The process of one entry VM, started again whenever it has ended.
+class soak_vm {
+public:
+  /// \p Command starts it; its output goes to \p LogFile.
+  soak_vm(const clock &Clock, promise_book &Book, unsigned Number,
+          std::vector<std::string> Command, std::string LogFile);
+
+  void start();
+  void kill();
+  void terminate();
+  void pause();
+  void resume();
+
+  /// Looks whether the process has ended, and starts it anew a moment later.
+  void look();
+
+  /// \returns how often it was started.
+  unsigned starts() const { return Starts; }
+
+private:
+  void onEnd(int ExitCode);
+  void killIfOverdue();
+
+  const clock &Clock;
+  promise_book &Book;
+  unsigned Number;
+  std::vector<std::string> Command;
+  std::string LogFile;
+  std::unique_ptr<child_process> Process;
+  unsigned Starts = 0;
+  unsigned Pauses = 0;
+  time_point StartedAt{};
+  bool Killed = false;
+  std::optional<time_point> TerminatedAt;
+  std::optional<time_point> EndedAt;
+};
+
+} // namespace masticproxy::soak
+
+#endif
--- a/tools/check_boundary.sh
+++ b/tools/check_boundary.sh
@@ -11,7 +11,7 @@
 FOUND=0
 for NAME in $NAMES; do
   if grep -rInwF --include='*.cpp' --include='*.h' --include='*.fbs' \
-    -e "$NAME" "$ROOT/packages" "$ROOT/bench" "$ROOT/fuzz" "$ROOT/docs/examples"; then
+    -e "$NAME" "$ROOT/packages" "$ROOT/soak" "$ROOT/bench" "$ROOT/fuzz" "$ROOT/docs/examples"; then
     FOUND=1
   fi
 done
--- a/tools/check_boundary_test.sh
+++ b/tools/check_boundary_test.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 PLACE=$(mktemp -d)
 trap 'rm -rf "$PLACE"' EXIT
-mkdir -p "$PLACE"/{packages,bench,fuzz,docs/examples}
+mkdir -p "$PLACE"/{packages,soak,bench,fuzz,docs/examples}
 tools/check_boundary.sh "$PLACE" >/dev/null
 echo 'const char *Name = "fanoutServices";' >"$PLACE/packages/planted.cpp"
 if tools/check_boundary.sh "$PLACE" >/dev/null 2>&1; then
--- a/tools/check_format.sh
+++ b/tools/check_format.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 MODE=(--dry-run --Werror)
 [ "${1:-}" = "--fix" ] && MODE=(-i)
-git ls-files --cached --others --exclude-standard 'packages/*.h' 'packages/*.cpp' 'bench/*.cpp' 'bench/*.h' 'docs/*.cpp' 'fuzz/*.cpp' 'platform/*.h' 'platform/*.cpp' |
+git ls-files --cached --others --exclude-standard 'packages/*.h' 'packages/*.cpp' 'bench/*.cpp' 'bench/*.h' 'docs/*.cpp' 'fuzz/*.cpp' 'platform/*.h' 'platform/*.cpp' 'soak/*.h' 'soak/*.cpp' |
   grep -v _generated.h | xargs -r clang-format "${MODE[@]}"
--- a/tools/check_lint.sh
+++ b/tools/check_lint.sh
@@ -25,5 +25,5 @@
   fi
 }
 export -f lint_one
-git ls-files --cached --others --exclude-standard 'packages/*.cpp' 'bench/*.cpp' 'platform/*.cpp' |
+git ls-files --cached --others --exclude-standard 'packages/*.cpp' 'bench/*.cpp' 'platform/*.cpp' 'soak/*.cpp' |
   xargs -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
