--- a/packages/core/tests/forwarding_world.h
+++ b/packages/core/tests/forwarding_world.h
@@ -55,6 +55,14 @@
     return Limits;
   }
 
+  /// The policy that asks the replicas in turn and sends no hedges.
+  static engine_limits naiveLimits() {
+    engine_limits Limits = limits();
+    Limits.Policy = policy_name::Naive;
+    Limits.SuspectSlow = false;
+    return Limits;
+  }
+
   void publish() {
     Engine.handle(catalogue_changed{buildCatalogue(Configuration, Upstreams)});
   }
--- a/soak/fault.cpp
+++ b/soak/fault.cpp
@@ -22,6 +22,7 @@
     return named("store link of vm", F.Vm) + " " + toString(F.Mode);
   }
   std::string operator()(const store_down &) { return "store down"; }
+  std::string operator()(const store_silent &) { return "store silent"; }
   std::string operator()(const store_compacted &) { return "store compacted"; }
   std::string operator()(const configuration_written &) {
     return "configuration written";
--- a/soak/fault.h
+++ b/soak/fault.h
@@ -39,6 +39,9 @@
 /// \brief The store refuses all calls for a while.
 struct store_down {};
 
+/// \brief The store answers no call for a while, and never those that it got.
+struct store_silent {};
+
 /// \brief The store forgets its history.
 struct store_compacted {};
 
@@ -68,7 +71,7 @@
 /// What can happen to a site.
 using fault =
     std::variant<vm_killed, vm_terminated, vm_paused, upstream_link_harmed,
-                 store_link_harmed, store_down, store_compacted,
+                 store_link_harmed, store_down, store_silent, store_compacted,
                  configuration_written, upstream_drained, upstream_slowed,
                  upstream_refusing, upstream_failing>;
 
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -21,11 +21,16 @@
 constexpr unsigned ShortestMs = 200;
 constexpr unsigned LongestMs = 4500;
 
+/// Silences of the store in a run at most, and what sets their draws apart.
+constexpr unsigned MostSilences = 2;
+constexpr unsigned SilenceStream = 0x51000000;
+
 /// \brief Draws faults from one seed.
 class fault_draws {
 public:
-  fault_draws(const soak_options &Options, unsigned Upstreams)
-      : Random(Options.Seed), Vms(Options.Vms), Upstreams(Upstreams) {}
+  fault_draws(const soak_options &Options, unsigned Upstreams,
+              unsigned Stream = 0)
+      : Random(Options.Seed + Stream), Vms(Options.Vms), Upstreams(Upstreams) {}
 
   /// \returns a number from [\p First, \p Last]. The library's distributions
   /// may differ from one system to the next, and so would the plan of a seed.
@@ -86,6 +91,18 @@
   unsigned Upstreams;
 };
 
+/// Adds a few silences of the store. They are drawn by themselves, so that the
+/// other faults of a seed stay those that they were before there were silences.
+void addSilences(std::vector<planned_fault> &Plan,
+                 const soak_options &Options) {
+  fault_draws Draws(Options, /*Upstreams=*/1, SilenceStream);
+  auto LastMs =
+      static_cast<unsigned>(std::chrono::milliseconds(Options.Length).count());
+  for (unsigned Left = Draws.number(0, MostSilences); Left > 0; --Left)
+    Plan.push_back({Draws.span(0, LastMs), Draws.span(ShortestMs, LongestMs),
+                    store_silent{}});
+}
+
 } // namespace
 
 std::vector<planned_fault>
@@ -103,6 +120,7 @@
       Next += Draws.span(0, SeriesGapMs);
     }
   }
+  addSilences(Plan, Options);
   std::stable_sort(Plan.begin(), Plan.end(),
                    [](const planned_fault &A, const planned_fault &B) {
                      return A.At < B.At;
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -217,6 +217,16 @@
   });
 }
 
+void soak_run::harm(const store_silent &, duration Span) {
+  Site.Store.setSilent(true);
+  ++StoreSilences;
+  Book.store().disturbed();
+  after(Span, [this] {
+    Site.Store.setSilent(--StoreSilences > 0);
+    Book.store().calmed(Clock.now());
+  });
+}
+
 void soak_run::harm(const store_compacted &, duration) { Site.Store.compact(); }
 
 void soak_run::harm(const configuration_written &, duration) {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -42,6 +42,7 @@
   void harm(const upstream_link_harmed &Fault, duration Span);
   void harm(const store_link_harmed &Fault, duration Span);
   void harm(const store_down &Fault, duration Span);
+  void harm(const store_silent &Fault, duration Span);
   void harm(const store_compacted &Fault, duration Span);
   void harm(const configuration_written &Fault, duration Span);
   void harm(const upstream_drained &Fault, duration Span);
@@ -76,8 +77,9 @@
   std::vector<std::unique_ptr<soak_vm>> Vms;
   std::vector<std::unique_ptr<soak_caller>> Callers;
   boost::asio::steady_timer LookTimer{Context};
-  /// Faults that came while the store was down already.
+  /// Outages and silences of the store that last.
   unsigned StoreOutages = 0;
+  unsigned StoreSilences = 0;
 };
 
 } // namespace masticproxy::soak
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,17 +1,16 @@
 #!/usr/bin/env bash
 # Plays the fault soak with some seeds side by side, each at a loopback address
-# of its own. Logs, settings and the plan of each stay in FOLDER/SEED.
+# of its own. Logs, settings, plan and report of each stay in FOLDER/SEED.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 usage() {
-  echo "usage: tools/soak.sh BIN FOLDER FIRST_SEED LAST_SEED" >&2
-  echo "  [--vms N] [--seconds N]; JOBS: runs side by side, 3 as a rule" >&2
+  cat >&2 <<'END'
+usage: tools/soak.sh BIN FOLDER FIRST_SEED LAST_SEED [--vms N] [--seconds N]
+       tools/soak.sh BIN FOLDER regressions
+JOBS is the number of runs side by side, 3 as a rule.
+END
   exit 2
 }
-[ $# -ge 4 ] || usage
-BIN=$1 FOLDER=$2 FIRST=$3 LAST=$4
-shift 4
-export BIN FOLDER
 soak_one() {
   SEED=$1
   shift
@@ -23,5 +22,18 @@
     tee "$FOLDER/$SEED/report.txt"
 }
 export -f soak_one
-seq "$FIRST" "$LAST" |
-  xargs -P "${JOBS:-3}" -I{} bash -c 'set -o pipefail; soak_one "$@"' _ {} "$@"
+
+[ $# -ge 3 ] || usage
+BIN=$1 FOLDER=$2
+shift 2
+export BIN FOLDER
+if [ "$1" = regressions ]; then
+  RUNS=$(sed -e 's/#.*//' -e '/^ *$/d' soak/regressions.txt)
+else
+  [ $# -ge 2 ] || usage
+  FIRST=$1 LAST=$2
+  shift 2
+  RUNS=$(seq "$FIRST" "$LAST" | sed "s/\$/ $*/")
+fi
+# shellcheck disable=SC2016
+echo "$RUNS" | xargs -P "${JOBS:-3}" -L 1 bash -c 'set -o pipefail; soak_one "$@"' _
