Probe a watch that the store holds back, in place of a look before it

Ruled out: a second look after the watch was sent, in turn with it, as the watch blocks its thread; keep-alive probes, as the connection lives.

Without any answer within the call's time-out the watch ends too, and a list follows. What the store got while it answers is answered later, so one probe is enough. The look is taken back: object_feed and discovery_thread are as they were, but for the call.

--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -6,7 +6,6 @@
 #include "masticproxy/src/Net/platform_caller.h"
 
 #include <algorithm>
-#include <utility>
 
 using namespace masticproxy;
 
@@ -86,10 +85,7 @@
 
 void discovery_thread::step() {
   Counters.get("platform_calls_total", "kind=\"" + Kind + "\"").add();
-  // A watch that is sent to a platform that has just fallen silent would be
-  // waited for in vain, also once the platform is back.
-  bool Look = std::exchange(LookNext, false);
-  feed_result Result = Look ? Feed.look() : Feed.next(WatchWait);
+  feed_result Result = Feed.next(WatchWait);
   if (auto *Failure = std::get_if<platform_unavailable>(&Result))
     return onFailure(*Failure);
   onSuccess();
@@ -117,10 +113,8 @@
   if (knowsNoUpstream(News) && !StartedAt)
     StartedAt = Clock.now();
   // What a list brings is followed at once; the history may be short.
-  if (News.Listed)
-    return;
-  pause(gatherTime());
-  LookNext = true;
+  if (!News.Listed)
+    pause(gatherTime());
 }
 
 duration discovery_thread::gatherTime() const {
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -73,9 +73,6 @@
   std::mutex Mutex;
   std::condition_variable Wake;
   bool Stopping = false;
-  /// Time has passed since the platform last answered, so that a look comes
-  /// before the next watch.
-  bool LookNext = false;
   /// Finds the end of an outage for this one, if not null.
   const discovery_thread *Leader = nullptr;
   /// Waits for this one, if not null.
--- a/packages/net/masticproxy/src/Net/object_feed.cpp
+++ b/packages/net/masticproxy/src/Net/object_feed.cpp
@@ -9,35 +9,17 @@
 
 namespace {
 
-/// Wait of a watch that asks only for what is there: the least that a platform
-/// takes as one.
-constexpr std::chrono::milliseconds LookWait{1};
+/// Wait of a watch that is answered at once: the least that a platform takes.
+constexpr std::chrono::milliseconds ProbeWait{1};
 
 } // namespace
 
 feed_result object_feed::next(std::chrono::milliseconds Wait) {
   if (!Revision)
     return list();
-  std::uint64_t Before = *Revision;
-  feed_result Result = listNextIfLost(watch(Wait, Freshness));
-  // For the same reason a watch without news is no proof that there are none:
-  // where a list costs no more than a watch, it comes next, and elsewhere the
-  // next watch goes back to the last news.
-  bool Quiet = Revision == Before;
-  if (Quiet && Pages == 1)
-    Revision.reset();
-  return Result;
-}
-
-feed_result object_feed::look() {
-  if (!Revision)
-    return list();
-  return listNextIfLost(watch(LookWait, read_freshness::MayLag));
-}
-
-// A platform that is about to lose its history can cut watches, and accept new
-// ones, before it tells the changes in between. Only a list is sure.
-feed_result object_feed::listNextIfLost(feed_result Result) {
+  feed_result Result = watch(Wait);
+  // A platform that is about to lose its history can cut watches, and accept
+  // new ones, before it tells the changes in between. Only a list is sure.
   if (std::holds_alternative<platform_unavailable>(Result))
     Revision.reset();
   return Result;
@@ -75,10 +57,10 @@
   return News;
 }
 
-feed_result object_feed::watch(std::chrono::milliseconds Wait,
-                               read_freshness Source) {
-  auto Answer =
-      Platform.call(Codec.watchRequest(*Revision, Wait, Source), Wait);
+feed_result object_feed::watch(std::chrono::milliseconds Wait) {
+  auto Answer = Platform.hold(
+      Codec.watchRequest(*Revision, Wait, Freshness), Wait,
+      Codec.watchRequest(*Revision, ProbeWait, read_freshness::MayLag));
   if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
     return *Failure;
   auto Read = Codec.readChanges(std::get<http_response>(Answer));
@@ -96,7 +78,12 @@
     std::move(Events.begin(), Events.end(), std::back_inserter(News.Events));
   }
   News.Revision = std::max(*Revision, Changes.Revision);
+  // For the same reason a watch without news is no proof that there are none:
+  // where a list costs no more than a watch, it comes next, and elsewhere the
+  // next watch goes back to the last news.
   if (!Changes.Objects.empty())
     Revision = News.Revision;
+  else if (Pages == 1)
+    Revision.reset();
   return News;
 }
--- a/packages/net/masticproxy/src/Net/object_feed.h
+++ b/packages/net/masticproxy/src/Net/object_feed.h
@@ -40,15 +40,9 @@
   /// Waits up to \p Wait for news. \returns them, or why there are none.
   feed_result next(std::chrono::milliseconds Wait);
 
-  /// Asks for the news that a copy has already, which is answered at once. A
-  /// platform that has fallen silent is found out so, before a watch that would
-  /// wait for it. \returns the news, or why there are none.
-  feed_result look();
-
 private:
   feed_result list();
-  feed_result watch(std::chrono::milliseconds Wait, read_freshness Source);
-  feed_result listNextIfLost(feed_result Result);
+  feed_result watch(std::chrono::milliseconds Wait);
 
   const platform_caller &Platform;
   const object_codec &Codec;
--- a/packages/net/masticproxy/src/Net/platform_caller.h
+++ b/packages/net/masticproxy/src/Net/platform_caller.h
@@ -28,6 +28,13 @@
   call(http_request Request,
        std::chrono::milliseconds Wait = std::chrono::milliseconds(0)) const;
 
+  /// As call(); where the answer is held back \p Probe is sent too, for which
+  /// any answer will do. A platform that gives none is silent, and may never
+  /// answer what it got meanwhile.
+  std::variant<http_response, platform_unavailable>
+  hold(http_request Request, std::chrono::milliseconds Wait,
+       http_request Probe) const;
+
 private:
   std::string Address;
   std::chrono::milliseconds CallTimeout;
--- /dev/null
+++ b/packages/net/tests/held_call_test.cpp
@@ -0,0 +1,98 @@
+/// \file
+/// A call that is held back ends soon where the other end was silent, and is
+/// waited for elsewhere.
+
+#include "masticproxy/Net"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace masticproxy;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr milliseconds ProbeAfter{50};
+constexpr milliseconds ProbeTimeout{200};
+constexpr milliseconds CallTimeout{3000};
+
+/// What a server does with a held call and with probes.
+struct holding_server {
+  /// Answers the held call after \p HeldFor, never where that is zero.
+  holding_server(milliseconds HeldFor, bool AnswersProbes)
+      : Server(Context, "127.0.0.1:0", {},
+               [=, this](const http_request &Request,
+                         const http_server::responder &Respond) {
+                 if (Request.Target == "/probe") {
+                   ++Probes;
+                   return answer(Respond, AnswersProbes ? milliseconds(1)
+                                                        : milliseconds(0));
+                 }
+                 answer(Respond, HeldFor);
+               }),
+        Thread([this] { Context.run(); }) {}
+  ~holding_server() {
+    Context.stop();
+    Thread.join();
+  }
+
+  void answer(const http_server::responder &Respond, milliseconds After) {
+    if (After == milliseconds(0))
+      return Kept.push_back(Respond);
+    auto Timer = std::make_shared<boost::asio::steady_timer>(Context, After);
+    Timer->async_wait(
+        [Timer, Respond](const boost::system::error_code &) { Respond({}); });
+  }
+
+  /// \returns whether the held call was answered.
+  bool call() {
+    http_request Probe;
+    Probe.Target = "/probe";
+    auto Start = steady_clock::now();
+    exchange_result Result =
+        heldCall("127.0.0.1:" + std::to_string(Server.port()), {}, CallTimeout,
+                 {std::move(Probe), ProbeAfter, ProbeTimeout});
+    Took = steady_clock::now() - Start;
+    return std::holds_alternative<http_response>(Result);
+  }
+
+  boost::asio::io_context Context{1};
+  std::vector<http_server::responder> Kept;
+  std::atomic<int> Probes{0};
+  http_server Server;
+  std::thread Thread;
+  steady_clock::duration Took{0};
+};
+
+} // namespace
+
+Test(held_call, needs_no_probe_where_the_answer_comes_soon) {
+  holding_server Server(milliseconds(5), true);
+  cr_assert(Server.call());
+  cr_assert(Server.Probes == 0);
+}
+
+Test(held_call, waits_on_where_the_probe_is_answered) {
+  holding_server Server(milliseconds(600), true);
+  cr_assert(Server.call());
+  cr_assert(Server.Probes == 1);
+  cr_assert(Server.Took >= milliseconds(600));
+}
+
+// The platform fell silent just before the call, and will never answer it.
+Test(held_call, ends_where_the_probe_is_not_answered) {
+  holding_server Server(milliseconds(0), false);
+  cr_assert(not Server.call());
+  cr_assert(Server.Took < CallTimeout / 2);
+}
+
+Test(held_call, ends_by_its_own_time_out) {
+  holding_server Server(milliseconds(0), true);
+  cr_assert(not Server.call());
+  cr_assert(Server.Took >= CallTimeout);
+}
