--- a/soak/calm_record.h
+++ b/soak/calm_record.h
@@ -17,6 +17,9 @@
     Since = Now;
   }
 
+  /// Notes a disruption of an instant.
+  void struck(time_point Now) { Since = Now; }
+
   /// \returns whether there was none for \p Span up to \p Now.
   bool calmFor(duration Span, time_point Now) const {
     return Open == 0 && Now - Since >= Span;
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -25,12 +25,19 @@
 
   /// \name What is done to the site
   /// @{
+  /// Kills, pauses and starts of a VM's process.
   calm_record &vm(unsigned Vm) { return Vms[Vm].Process; }
+  /// Harm to a VM's connections to the store.
   calm_record &storeLink(unsigned Vm) { return Vms[Vm].Store; }
+  /// Outages and silences of the store.
   calm_record &store() { return Store; }
+  /// Harm to all connections to an upstream.
   calm_record &upstreamLink(unsigned Upstream) { return Links[Upstream]; }
+  /// A VM's process was asked to end, the one of its start \p Start.
   void terminated(unsigned Vm, unsigned Start) { Terminated[Vm] = Start; }
+  /// The store acknowledged the next configuration.
   void configurationWritten() { Versions.written(Clock.now()); }
+  /// The store acknowledged that an upstream drains, or does no more.
   void drained(unsigned Upstream) { DrainedAt[Upstream] = Clock.now(); }
   void undrained(unsigned Upstream) { DrainedAt[Upstream].reset(); }
   /// Notes that all is well again: requests from now on have to be served.
@@ -39,17 +46,22 @@
 
   /// \name What was seen
   /// @{
+  /// A caller sent a request.
   void sent(const soak_request &Request);
+  /// An upstream of \p Shard began to run the request \p Id.
   void ran(const std::string &Id, const std::string &Target, unsigned Shard,
            unsigned Upstream);
+  /// The caller has the whole answer.
   void answered(const std::string &Id, const caller_answer &Answer);
   /// The connection ended without an answer; \p Unsent where no byte left.
   void closed(const std::string &Id, bool Unsent);
+  /// The caller closed its connection before it had an answer.
   void left(const std::string &Id);
   /// A VM's process ended without being killed.
   void vmEnded(unsigned Vm, bool Asked, int ExitCode);
   /// @}
 
+  /// \returns the newest version of the configuration.
   unsigned newestVersion() const { return Versions.newest(); }
 
   /// Checks what only the whole run shows.
--- a/soak/soak_vm.cpp
+++ b/soak/soak_vm.cpp
@@ -33,15 +33,13 @@
   TerminatedAt.reset();
   EndedAt.reset();
   Process = std::make_unique<child_process>(Command, LogFile);
-  Book.vm(Number).disturbed();
-  Book.vm(Number).calmed(Clock.now());
+  Book.vm(Number).struck(Clock.now());
 }
 
 void soak_vm::kill() {
   if (EndedAt)
     return;
-  Book.vm(Number).disturbed();
-  Book.vm(Number).calmed(Clock.now());
+  Book.vm(Number).struck(Clock.now());
   Killed = true;
   Process->signal(SIGKILL);
 }
--- a/soak/soak_vm.h
+++ b/soak/soak_vm.h
@@ -21,8 +21,15 @@
           std::vector<std::string> Command, std::string LogFile);
 
   void start();
+
+  /// Ends the process by SIGKILL.
   void kill();
+
+  /// Asks the process to end, by SIGTERM; it is killed where it does not in
+  /// time.
   void terminate();
+
+  /// Lets the process stand still until resume() was called as often.
   void pause();
   void resume();
 
