One odd entry in the store costs neither the process nor the rest of the list

What callers saw: a foreign entry nested 200,000 deep in the list of upstreams ended every VM that read it with SIGSEGV, at the first list and by a watch, and again after each start. A number like 1e999, or bytes that are no UTF-8, made the whole page unreadable, so a VM no longer followed the list. Cause: store_codec parsed a page as one JSON value and wrote each entry out again with nlohmann's dump(), which recurses; one value that the parser refuses fails the page. The same dump() stood behind a native upstream's body in outcome_response. Change: json_text takes a page apart by its punctuation, without recursion, so each entry keeps its own text and is parsed by itself; what is nested deeper than 64 is refused before it is parsed (parseBoundedJson), at the store's answers of each kind, the native platform's, and native upstreams' bodies. An entry without a readable name or revision is named in a log line.

--- a/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/outcome_response.cpp
@@ -1,5 +1,6 @@
 #include "masticproxy/src/Daemon/outcome_response.h"
 
+#include "masticproxy/src/Base/json_text.h"
 #include "masticproxy/src/Net/http_status.h"
 
 #include <nlohmann/json.hpp>
@@ -16,6 +17,8 @@
 
 /// An upstream's body is JSON where it parses, and a text otherwise.
 nlohmann::json bodyJson(const std::string &Body) {
+  if (jsonDepth(Body) > MaxJsonDepth)
+    return Body;
   nlohmann::json Parsed =
       nlohmann::json::parse(Body, nullptr, /*allow_exceptions=*/false);
   return Parsed.is_discarded() ? nlohmann::json(Body) : Parsed;
--- a/packages/net/masticproxy/src/Net/http_platform.cpp
+++ b/packages/net/masticproxy/src/Net/http_platform.cpp
@@ -1,9 +1,8 @@
 #include "masticproxy/src/Net/http_platform.h"
 
+#include "masticproxy/src/Net/bounded_json.h"
 #include "masticproxy/src/Net/http_status.h"
 
-#include <nlohmann/json.hpp>
-
 using namespace masticproxy;
 
 namespace {
@@ -26,7 +25,7 @@
 template <typename Result, typename Reader> Result guarded(Reader Read) {
   try {
     return Read();
-  } catch (const nlohmann::json::exception &Error) {
+  } catch (const std::exception &Error) {
     return platform_unavailable{std::string("bad answer: ") + Error.what()};
   }
 }
@@ -53,7 +52,7 @@
   if (Response.Status != StatusOk)
     return unexpected(Response);
   return guarded<platform_read_result>(
-      [&] { return readObject(nlohmann::json::parse(Response.Body)); });
+      [&] { return readObject(parseBoundedJson(Response.Body)); });
 }
 
 platform_write_result http_platform::put(std::string_view Kind,
@@ -90,7 +89,7 @@
     return unexpected(Response);
   return guarded<platform_vms_result>([&] {
     std::vector<platform_vm> Vms;
-    for (const nlohmann::json &Node : nlohmann::json::parse(Response.Body)) {
+    for (const nlohmann::json &Node : parseBoundedJson(Response.Body)) {
       platform_vm Vm;
       Vm.Name = Node.at("name").get<std::string>();
       Vm.DataCentre = Node.at("data_centre").get<std::string>();
@@ -125,10 +124,10 @@
   const auto &Response = std::get<http_response>(Answer);
   return guarded<platform_write_result>([&]() -> platform_write_result {
     if (Response.Status == StatusOk)
-      return readObject(nlohmann::json::parse(Response.Body));
+      return readObject(parseBoundedJson(Response.Body));
     if (Response.Status != StatusConflict)
       return unexpected(Response);
-    nlohmann::json Current = nlohmann::json::parse(Response.Body);
+    nlohmann::json Current = parseBoundedJson(Response.Body);
     platform_conflict Conflict;
     if (!Current.is_null())
       Conflict.Current = readObject(Current);
@@ -145,7 +144,7 @@
   if (Response.Status != StatusOk)
     return unexpected(Response);
   return guarded<platform_changes_result>([&] {
-    nlohmann::json Root = nlohmann::json::parse(Response.Body);
+    nlohmann::json Root = parseBoundedJson(Response.Body);
     platform_changes Changes;
     Changes.Revision = Root.at("revision").get<std::uint64_t>();
     for (const nlohmann::json &Node : Root.at("objects"))
--- a/packages/net/masticproxy/src/Net/object_codec.h
+++ b/packages/net/masticproxy/src/Net/object_codec.h
@@ -22,6 +22,8 @@
   std::uint64_t Revision = 0;
   /// Name to go on after; empty on the last page.
   std::string Continue;
+  /// What could not be read as an object.
+  std::vector<std::string> Problems = {};
 };
 
 /// \brief The platform has dropped the history that a watch asked for.
--- a/packages/net/masticproxy/src/Net/object_feed.cpp
+++ b/packages/net/masticproxy/src/Net/object_feed.cpp
@@ -29,10 +29,11 @@
   std::vector<platform_object> Objects;
   std::optional<std::uint64_t> Oldest;
   std::string Continue;
+  feed_news News;
   Pages = 0;
   // At a start nothing was missed: what the list lacks comes with the watch. A
   // later list is read because the watch may have missed something.
-  read_freshness Source = Listed ? read_freshness::Newest : Freshness;
+  read_freshness Source = Listed ? ListFreshness : Freshness;
   do {
     ++Pages;
     auto Answer = Platform.call(Codec.listRequest(Continue, Source));
@@ -46,9 +47,10 @@
     Oldest = std::min(Oldest.value_or(Page.Revision), Page.Revision);
     std::move(Page.Objects.begin(), Page.Objects.end(),
               std::back_inserter(Objects));
+    std::move(Page.Problems.begin(), Page.Problems.end(),
+              std::back_inserter(News.Problems));
     Continue = std::move(Page.Continue);
   } while (!Continue.empty());
-  feed_news News;
   News.Events = Codec.readList(Objects, News.Problems);
   News.Revision = *Oldest;
   News.Listed = true;
@@ -72,6 +74,7 @@
   }
   const auto &Changes = std::get<platform_changes>(Read);
   feed_news News;
+  News.Problems = Changes.Problems;
   for (const platform_object &Object : Changes.Objects) {
     std::vector<discovery_event> Events =
         Codec.readChange(Object, News.Problems);
--- a/packages/net/masticproxy/src/Net/object_feed.h
+++ b/packages/net/masticproxy/src/Net/object_feed.h
@@ -31,11 +31,13 @@
 /// failure and where the history is gone, then one watch after the other.
 class object_feed {
 public:
-  /// The first list and all watches are answered from a source of \p Freshness;
-  /// later lists always show the newest.
+  /// The first list and all watches are answered from a source of \p Freshness,
+  /// later lists from one of \p ListFreshness.
   object_feed(const platform_caller &Platform, const object_codec &Codec,
-              read_freshness Freshness = read_freshness::Newest)
-      : Platform(Platform), Codec(Codec), Freshness(Freshness) {}
+              read_freshness Freshness = read_freshness::Newest,
+              read_freshness ListFreshness = read_freshness::Newest)
+      : Platform(Platform), Codec(Codec), Freshness(Freshness),
+        ListFreshness(ListFreshness) {}
 
   /// Waits up to \p Wait for news. \returns them, or why there are none.
   feed_result next(std::chrono::milliseconds Wait);
@@ -47,6 +49,7 @@
   const platform_caller &Platform;
   const object_codec &Codec;
   read_freshness Freshness;
+  read_freshness ListFreshness;
   /// Whether a complete list was read.
   bool Listed = false;
   /// Nothing where a list has to be read first.
--- a/packages/net/masticproxy/src/Net/platform_api.h
+++ b/packages/net/masticproxy/src/Net/platform_api.h
@@ -44,6 +44,8 @@
   /// Revision up to which the list is complete.
   std::uint64_t Revision = 0;
   std::vector<platform_object> Objects;
+  /// What could not be read as an object.
+  std::vector<std::string> Problems = {};
 };
 
 /// \brief A VM as the platform lists it; the list lags.
