Count deaths with another cause for half; condemn longer each time

And a condemned query was tried again every five minutes for as long as its callers sent it, one more upstream each time, where the users' rule leaves three further sends in all. Cause: a death is evidence against a query only if nothing else explains it, and the time of a condemnation did not grow. The half goes along in notices (an added FlatBuffers field, so old VMs read new notices). Ruled out: two other deaths as the limit: core_poison_property_test, whose innocent query dies with two upstreams, then met up to 5 deaths instead of 3.

--- a/packages/core/masticproxy/src/Poison/poison_notice.h
+++ b/packages/core/masticproxy/src/Poison/poison_notice.h
@@ -20,6 +20,14 @@
   std::string Shard;
   /// Time since the last death.
   std::chrono::milliseconds Age{0};
+  /// Whether one more death counted for half a round, as it may have another
+  /// cause.
+  bool HalfRound = false;
+
+  /// \returns the number of half rounds, which orders the notices of a query.
+  std::uint64_t halfRounds() const {
+    return 2 * std::uint64_t{Rounds} + (HalfRound ? 1 : 0);
+  }
 
   bool operator==(const poison_notice &) const = default;
 };
--- a/packages/core/masticproxy/src/Poison/poison_register.cpp
+++ b/packages/core/masticproxy/src/Poison/poison_register.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Rounds of deaths after which a query is condemned.
-constexpr unsigned RoundsToCondemn = 2;
+/// Half rounds of a death, and of one that may have another cause.
+constexpr unsigned WholeRound = 2;
+constexpr unsigned HalfRound = 1;
 
 /// Maximum number of recorded queries; the one with the oldest last death is
 /// evicted first.
@@ -20,10 +21,10 @@
   if (Found == Records.end())
     return poison_state::Clear;
   duration Age = Clock.now() - Found->second.LastUpstreamDeath;
-  if (Age >= Timing.SuspectFor)
+  unsigned Rounds = Found->second.rounds();
+  if (Age >= Timing.forgottenAfter(Rounds))
     return poison_state::Clear;
-  bool Condemned =
-      Found->second.Rounds >= RoundsToCondemn && Age < Timing.CondemnFor;
+  bool Condemned = Age < Timing.condemnedFor(Rounds);
   return Condemned ? poison_state::Condemned : poison_state::Suspect;
 }
 
@@ -34,34 +35,51 @@
 
 std::optional<poison_notice>
 poison_register::upstreamDied(query_fingerprint Fingerprint,
-                              std::string_view Shard, time_point Started) {
+                              std::string_view Shard, time_point Started,
+                              bool OtherCause) {
   time_point Now = Clock.now();
   record &Record = recordOf(Fingerprint);
   // Attempts of one query that ran concurrently may all have failed by one
   // cause other than the query. A death counts as a new round only if the
   // attempt started after the last death was known.
-  bool NewRound = Record.Rounds == 0 || Started > Record.LastUpstreamDeath;
-  if (!NewRound)
+  bool First = Record.HalfRounds == 0;
+  if (!First && Started <= Record.LastUpstreamDeath)
     return std::nullopt;
-  ++Record.Rounds;
+  Record.HalfRounds += OtherCause && !First ? HalfRound : WholeRound;
   Record.Shard = Shard;
   Record.LastUpstreamDeath = Now;
-  return poison_notice{Fingerprint, Record.Rounds, Record.Shard};
+  poison_notice Notice{Fingerprint, Record.rounds(), Record.Shard};
+  Notice.HalfRound = Record.HalfRounds % WholeRound != 0;
+  return Notice;
 }
 
-void poison_register::shardAnswered(query_fingerprint Fingerprint,
+bool poison_register::shardAnswered(query_fingerprint Fingerprint,
                                     std::string_view Shard) {
   auto Found = Records.find(Fingerprint);
-  if (Found != Records.end() && Found->second.Shard == Shard)
-    Records.erase(Found);
+  if (Found == Records.end() || Found->second.Shard != Shard)
+    return false;
+  Records.erase(Found);
+  return true;
+}
+
+void poison_register::onEnded(const suspicion_ended &Ended) {
+  if (stateOf(Ended.Fingerprint) == poison_state::Suspect)
+    Records.erase(Ended.Fingerprint);
+}
+
+bool poison_register::isNews(const poison_notice &Notice) const {
+  auto Found = Records.find(Notice.Fingerprint);
+  std::uint64_t Known = Found == Records.end() ? 0 : Found->second.HalfRounds;
+  return Notice.halfRounds() > Known &&
+         Notice.Age < Timing.forgottenAfter(Notice.Rounds);
 }
 
 void poison_register::onNotice(const poison_notice &Notice) {
-  if (Notice.Rounds == 0 || Notice.Age >= Timing.SuspectFor)
+  if (Notice.Rounds == 0 || Notice.Age >= Timing.forgottenAfter(Notice.Rounds))
     return;
   record &Record = recordOf(Notice.Fingerprint);
   time_point Death = Clock.now() - Notice.Age;
-  Record.Rounds = std::max(Record.Rounds, Notice.Rounds);
+  Record.HalfRounds = std::max(Record.HalfRounds, Notice.halfRounds());
   Record.LastUpstreamDeath = std::max(Record.LastUpstreamDeath, Death);
   Record.Shard = Notice.Shard;
 }
@@ -78,7 +96,7 @@
 
 void poison_register::evictRecords() {
   std::erase_if(Records, [this](const record_map::value_type &Entry) {
-    return Clock.now() - Entry.second.LastUpstreamDeath >= Timing.SuspectFor;
+    return stateOf(Entry.first) == poison_state::Clear;
   });
   if (Records.size() < MaxRecords)
     return;
--- a/packages/core/masticproxy/src/Poison/poison_register.h
+++ b/packages/core/masticproxy/src/Poison/poison_register.h
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Poison/poison_timing.h"
+#include "masticproxy/src/Poison/suspicion_ended.h"
 
 #include <cstddef>
 #include <optional>
@@ -23,12 +24,13 @@
   Suspect,
   /// The query was in flight at two deaths, and its attempt at the second one
   /// started after the first was known. It is not run for
-  /// poison_timing::CondemnFor after the last death, then it is Suspect again.
+  /// poison_timing::condemnedFor() after the last death, then it is Suspect
+  /// again.
   Condemned,
 };
 
-/// \brief Records the queries of one data centre that were in flight when
-/// upstreams died.
+/// \brief Records the queries that were in flight when upstreams died, at this
+/// VM and at those that notified it.
 class poison_register {
 public:
   poison_register(const clock &Clock, poison_timing Timing)
@@ -42,15 +44,25 @@
   std::string_view shardOf(query_fingerprint Fingerprint) const;
 
   /// Records that an upstream died while it ran the query's attempt that
-  /// started at \p Started. \returns the notice to be sent to the other VMs, or
-  /// nothing if the death belongs to a round already recorded.
+  /// started at \p Started. With \p OtherCause, other upstreams died too, and
+  /// the death counts for half. \returns the notice to be sent to the other
+  /// VMs, or nothing if the death belongs to a round already recorded.
   std::optional<poison_notice> upstreamDied(query_fingerprint Fingerprint,
                                             std::string_view Shard,
-                                            time_point Started);
+                                            time_point Started,
+                                            bool OtherCause = false);
 
   /// Records that \p Shard answered the query. If the last death was at that
-  /// shard, the query did not cause it and its record is removed.
-  void shardAnswered(query_fingerprint Fingerprint, std::string_view Shard);
+  /// shard, the query did not cause it and its record is removed. \returns
+  /// whether it was.
+  bool shardAnswered(query_fingerprint Fingerprint, std::string_view Shard);
+
+  /// Another VM found that the query did not cause a death. Removes its record
+  /// unless it is condemned.
+  void onEnded(const suspicion_ended &Ended);
+
+  /// \returns whether \p Notice says more than is on record.
+  bool isNews(const poison_notice &Notice) const;
 
   /// Applies a notice of another VM.
   void onNotice(const poison_notice &Notice);
@@ -60,7 +72,9 @@
 
 private:
   struct record {
-    unsigned Rounds = 0;
+    unsigned rounds() const { return static_cast<unsigned>(HalfRounds / 2); }
+
+    std::uint64_t HalfRounds = 0;
     std::string Shard;
     time_point LastUpstreamDeath;
   };
--- a/packages/wire/masticproxy/src/Wire/peer_codec.cpp
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.cpp
@@ -88,7 +88,7 @@
   std::pair<wire::PeerBody, Offset<void>> operator()(const poison_notice &M) {
     auto Packed = wire::CreatePoisonNotice(
         Out, M.Fingerprint, M.Rounds, Out.CreateString(M.Shard),
-        static_cast<std::uint64_t>(M.Age.count()));
+        static_cast<std::uint64_t>(M.Age.count()), M.HalfRound);
     return {wire::PeerBody::PoisonNotice, Packed.Union()};
   }
 
@@ -144,9 +144,9 @@
 std::variant<peer_message, frame_error> unpack(const wire::PoisonNotice &M) {
   if (M.age_ms() > LongestAge)
     return frame_error::Malformed;
-  return peer_message(poison_notice{M.fingerprint(), M.rounds(),
-                                    text(M.shard()),
-                                    std::chrono::milliseconds(M.age_ms())});
+  return peer_message(
+      poison_notice{M.fingerprint(), M.rounds(), text(M.shard()),
+                    std::chrono::milliseconds(M.age_ms()), M.half_round()});
 }
 
 std::variant<peer_message, frame_error> unpack(const wire::DrainNotice &M) {
--- a/packages/wire/tests/frame_test.cpp
+++ b/packages/wire/tests/frame_test.cpp
@@ -64,7 +64,8 @@
         *rc::gen::arbitrary<std::uint64_t>(),
         *rc::gen::arbitrary<std::uint32_t>(),
         *rc::gen::arbitrary<std::string>(),
-        std::chrono::milliseconds(*rc::gen::inRange(0, 1000000))};
+        std::chrono::milliseconds(*rc::gen::inRange(0, 1000000)),
+        *rc::gen::arbitrary<bool>()};
   case 3:
     return drain_notice{
         *rc::gen::arbitrary<std::string>(),
