See the end of an upstream that nobody announces

What callers saw: with an upstream that ended but left the request's connection open, one crashing request ended 18 of 18 upstreams at a single VM; with callers that left early, 40 of 40. Cause: a death counted only if the connection was closed and a new one refused. An attempt that ended by its deadline, by its caller's leaving or by a cancellation was evidence of nothing, although its upstream was gone. A response of the same process clears them; a refused connection, or the process leaving the list of registrations, makes them deaths, and a refused connection those in flight there too. An attempt that times out checks its upstream where nothing came from it meanwhile. While an attempt of a suspect is lost, the query is refused at once. Attempts at a shard that has answered are no evidence. Only a signed response of a forwarded request ends a suspicion: an unsigned error shows no run. A process is told by its identity and its start, as an identity can return. Ruled out: a silent path as a sign of death; a cut would make every request in flight a suspect.

--- a/packages/core/masticproxy/src/Discovery/catalogue_builder.cpp
+++ b/packages/core/masticproxy/src/Discovery/catalogue_builder.cpp
@@ -17,6 +17,8 @@
   Replica.Slots = Entry.Slots;
   Replica.Connections = Connections;
   Replica.Instance = Entry.Instance;
+  Replica.Process =
+      Entry.Instance + "/" + std::to_string(Entry.Started.count());
   return Replica;
 }
 
--- a/packages/core/masticproxy/src/Poison/poison_guard.h
+++ b/packages/core/masticproxy/src/Poison/poison_guard.h
@@ -2,17 +2,21 @@
 #define MASTICPROXY_POISON_POISON_GUARD_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Poison/lost_attempts.h"
 #include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Poison/poison_register.h"
+#include "masticproxy/src/Poison/recent_deaths.h"
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 namespace masticproxy {
 
@@ -22,13 +26,13 @@
 public:
   /// With \p ProbeFirst, a query has at most one attempt in flight until the
   /// first shard answers it.
-  poison_guard(const clock &Clock, bool ProbeFirst)
-      : Clock(Clock), ProbeFirst(ProbeFirst), Register(Clock, {}) {}
+  poison_guard(const clock &Clock, bool ProbeFirst, poison_timing Timing = {})
+      : Clock(Clock), ProbeFirst(ProbeFirst), Register(Clock, Timing),
+        Deaths(Clock), Lost(Clock, Timing.LostFor) {}
 
-  /// \returns whether the query must not be run.
-  bool condemned(query_fingerprint Fingerprint) const {
-    return Register.stateOf(Fingerprint) == poison_state::Condemned;
-  }
+  /// \returns whether the query must not be run: it is condemned, or it is a
+  /// suspect of which an attempt is lost.
+  bool condemned(query_fingerprint Fingerprint) const;
 
   /// \returns the shard for which the query was in flight when an upstream last
   /// died; "" if no death is on record.
@@ -39,25 +43,56 @@
   /// \returns whether an attempt at \p Upstream may start now.
   bool mayStart(query_fingerprint Fingerprint, std::string_view Upstream) const;
 
-  /// Records that \p Attempt of the query was sent to \p Upstream for
-  /// \p Shard.
+  /// Records that \p Attempt of the query was sent to \p Upstream, the
+  /// identity of its process, for \p Shard.
   void started(std::uint64_t Attempt, query_fingerprint Fingerprint,
                std::string_view Upstream, std::string_view Shard);
 
   /// Records that an attempt was answered with a result. Unknown attempts are
-  /// ignored, here and below.
-  void answered(std::uint64_t Attempt);
+  /// ignored, here and below. \returns the suspicion that this ends, if any.
+  std::optional<suspicion_ended> answered(std::uint64_t Attempt);
+
+  /// Records that the upstream responded to an attempt without a result.
+  void refused(std::uint64_t Attempt);
 
   /// Records that the upstream died while it ran an attempt. \returns the
   /// notice to be sent to the other VMs, if any.
   std::optional<poison_notice> upstreamDied(std::uint64_t Attempt);
 
-  /// Records that an attempt ended in any other way.
+  /// Records that an attempt that may have run ended without a response, and
+  /// that its upstream may have died or not. \returns the query if it must not
+  /// be run until that is known.
+  std::optional<query_fingerprint> lost(std::uint64_t Attempt);
+
+  /// Records that an attempt was not sent because its upstream accepts no
+  /// connections: it died while it ran its other attempts. \returns the notices
+  /// to be sent to the other VMs.
+  std::vector<poison_notice> refusedConnection(std::uint64_t Attempt);
+
+  /// Records that upstreams that \p Ended holds for are gone: they may have
+  /// died while they ran the attempts that are lost. \returns the notices to be
+  /// sent to the other VMs.
+  std::vector<poison_notice>
+  upstreamsGone(const std::function<bool(std::string_view)> &Ended);
+
+  /// \returns whether upstreamsGone() could have any effect.
+  bool hasLost() const { return !Lost.empty(); }
+
+  /// Records that an attempt ended in any other way: it did not crash its
+  /// upstream.
   void ended(std::uint64_t Attempt) { removeAttempt(Attempt); }
 
+  /// \returns whether \p Notice says more than this VM knows.
+  bool isNews(const poison_notice &Notice) const {
+    return Register.isNews(Notice);
+  }
+
   /// Applies a notice of another VM.
   void onNotice(const poison_notice &Notice) { Register.onNotice(Notice); }
 
+  /// Another VM found that a query did not cause a death.
+  void onEnded(const suspicion_ended &Ended) { Register.onEnded(Ended); }
+
 private:
   struct attempt_record {
     query_fingerprint Fingerprint = 0;
@@ -67,15 +102,20 @@
     /// Whether the query was a suspect when the attempt started; a suspect has
     /// only one attempt in flight.
     bool Suspect = false;
+    /// Whether the death of its upstream is recorded already.
+    bool DeathRecorded = false;
   };
 
   bool isProven(query_fingerprint Fingerprint) const;
   void recordProven(query_fingerprint Fingerprint);
   std::optional<attempt_record> removeAttempt(std::uint64_t Attempt);
+  std::optional<poison_notice> recordDeath(const attempt_record &Record);
 
   const clock &Clock;
   bool ProbeFirst;
   poison_register Register;
+  recent_deaths Deaths;
+  lost_attempts Lost;
   std::unordered_map<std::uint64_t, attempt_record> Attempts;
   std::unordered_map<query_fingerprint, unsigned> InFlight;
   /// Number of attempts of suspects in flight, by upstream.
--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Claims/claim_wanted.h"
 #include "masticproxy/src/Drain/drain_notice.h"
 #include "masticproxy/src/Poison/poison_notice.h"
+#include "masticproxy/src/Poison/suspicion_ended.h"
 #include "masticproxy/src/Query/engine_event.h"
 #include "masticproxy/src/Query/query_account.h"
 #include "masticproxy/src/Query/query_outcome.h"
@@ -82,7 +83,7 @@
 using engine_command =
     std::variant<send_attempt, cancel_attempt, deliver_outcome, send_relay,
                  cancel_relay, answer_relay, claim_wanted, claim_unused,
-                 poison_notice, drain_notice, probe_upstream>;
+                 poison_notice, suspicion_ended, drain_notice, probe_upstream>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Claims/claim_decision.h"
 #include "masticproxy/src/Drain/drain_notice.h"
 #include "masticproxy/src/Poison/poison_notice.h"
+#include "masticproxy/src/Poison/suspicion_ended.h"
 #include "masticproxy/src/Query/partial_answer.h"
 #include "masticproxy/src/Relay/relay_cancel.h"
 #include "masticproxy/src/Relay/relay_end.h"
@@ -75,8 +76,12 @@
 struct attempt_failed {
   attempt_id Attempt = 0;
   attempt_failure Failure = attempt_failure::Unknown;
-  /// Whether the upstream died: it closed the connection and accepts no other.
+  /// Whether the upstream died while it ran the attempt: it closed the
+  /// connection, or did not respond in time, and accepts no other connection.
   bool UpstreamDied = false;
+  /// Whether the attempt was not sent because the upstream refused the
+  /// connection.
+  bool ConnectionRefused = false;
 };
 
 /// \brief A new configuration is in force.
@@ -125,7 +130,8 @@
     std::variant<query_arrived, attempt_answered, attempt_failed,
                  catalogue_changed, timer_fired, leave_started, relay_failed,
                  relay_arrived, relay_cancelled, relays_closed, claim_decision,
-                 poison_notice, drain_notice, caller_left, upstream_probed>;
+                 poison_notice, suspicion_ended, drain_notice, caller_left,
+                 upstream_probed>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/index_map.h
+++ b/packages/core/masticproxy/src/Query/index_map.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace masticproxy {
@@ -21,6 +22,14 @@
   /// Identity of the upstream's current process lifetime, which the upstream
   /// checks; empty if it has none.
   std::string Instance = {};
+  /// Names one start of the upstream's process, also where the identity stays;
+  /// empty if it is not known.
+  std::string Process = {};
+
+  /// \returns the name of the process: its address if no other is known.
+  std::string_view process() const {
+    return Process.empty() ? Address : Process;
+  }
 };
 
 /// \brief One shard of a snapshot with its replicas.
--- a/packages/core/masticproxy/src/Query/query_catalogue.cpp
+++ b/packages/core/masticproxy/src/Query/query_catalogue.cpp
@@ -65,6 +65,16 @@
   return Addresses;
 }
 
+std::optional<std::set<std::string_view>> query_catalogue::processes() const {
+  if (!Replicas)
+    return std::nullopt;
+  std::set<std::string_view> Names;
+  for (const auto &[Shard, Serving] : *Replicas)
+    for (const replica &Replica : Serving)
+      Names.insert(Replica.process());
+  return Names;
+}
+
 std::vector<std::string> query_catalogue::profileNames() const {
   std::vector<std::string> Names;
   Names.reserve(Profiles.size());
--- a/packages/core/masticproxy/src/Query/query_catalogue.h
+++ b/packages/core/masticproxy/src/Query/query_catalogue.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -65,6 +66,10 @@
   /// set by setReplicas().
   std::vector<std::string> addressesOutside(std::string_view DataCentre) const;
 
+  /// \returns the processes of all replicas that were set by setReplicas(), or
+  /// nothing if none were set.
+  std::optional<std::set<std::string_view>> processes() const;
+
   /// \returns the names of all profiles.
   std::vector<std::string> profileNames() const;
 
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -119,12 +119,12 @@
     Router.attemptAnswered(Record->Upstream);
   else
     recordAttemptEnd(*Record, /*Failure=*/nullptr);
-  Poison.answered(Event.Attempt);
+  recordAnswer(Event, *Record);
   if (Run) {
     bool Added = Run->attemptAnswered(Record->Shard, Event.Attempt,
                                       std::move(Event.Result));
     if (Added)
-      cancelOpen(*Run, Record->Shard, Run->cancelsRedundantAttempts());
+      cancelRedundant(*Run, Record->Shard);
     startShard(Record->Ticket, *Run, Record->Shard);
     finishIfOver(Record->Ticket);
   }
@@ -176,6 +176,7 @@
     Reach.follow(Catalogue->addressesOutside(Limits.DataCentre));
   for (auto &[Ticket, Run] : Runs)
     restartIfDue(Ticket, Run);
+  recordGoneUpstreams();
 }
 
 void query_engine::on(timer_fired) {
@@ -252,7 +253,7 @@
     Waiting.add({Ticket, Shard}, Replicas, Run.waitingClass());
     return;
   }
-  if (!Poison.mayStart(Run.fingerprint(), Chosen->Address))
+  if (!Poison.mayStart(Run.fingerprint(), Chosen->process()))
     return Waiting.add({Ticket, Shard}, Replicas, Run.waitingClass());
   chargeLoadBudget(Run, Shard, Retry);
   send(Ticket, Run, Shard, *Chosen,
@@ -284,7 +285,7 @@
 void query_engine::send(query_ticket Ticket, query_run &Run, std::size_t Shard,
                         const replica &Target, attempt_kind Kind) {
   attempt_id Attempt = NextAttempt++;
-  Poison.started(Attempt, Run.fingerprint(), Target.Address,
+  Poison.started(Attempt, Run.fingerprint(), Target.process(),
                  Run.snapshot().Shards[Shard].Id);
   Upstreams.attemptStarted(Target.Address);
   if (isRemote(Target))
@@ -294,6 +295,7 @@
       Attempt, attempt_record{Ticket, Shard, Run.generation(), Target.Address,
                               /*Relayed=*/false, Target.Instance,
                               Run.latencyClass(), Kind, Clock.now()});
+  Added.first->second.Signed = Run.forwardRoute() != nullptr;
   if (Run.pinnedProfile().MayRepeat && Kind != attempt_kind::Hedge)
     scheduleHedge(Attempt, Added.first->second);
   Commands.push_back(send_attempt{Attempt, Run.requestId(), Target.Address,
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -84,6 +84,11 @@
   /// centres: nearly all of their upstreams are unresponsive.
   bool isPartitioned() const { return Reach.isPartitioned(); }
 
+  /// \returns whether \p Notice says more than this VM knows.
+  bool isNews(const poison_notice &Notice) const {
+    return Poison.isNews(Notice);
+  }
+
   /// Sets how many connections this VM may hold to each upstream.
   void setGrant(std::shared_ptr<const connection_grant> Grant) {
     Upstreams.setGrant(std::move(Grant));
@@ -112,6 +117,8 @@
     bool Cancelled = false;
     /// Whether a command to stop the attempt was issued.
     bool Stopped = false;
+    /// Whether upstreams sign their responses to it.
+    bool Signed = false;
   };
   using run_map = std::unordered_map<query_ticket, query_run>;
 
@@ -127,6 +134,7 @@
   void on(relays_closed Event);
   void on(claim_decision Event);
   void on(const poison_notice &Event);
+  void on(const suspicion_ended &Event) { Poison.onEnded(Event); }
   void on(const drain_notice &Event);
   void on(const caller_left &Event);
   void on(const upstream_probed &Event);
@@ -204,6 +212,8 @@
   static query_outcome outcomeOf(run_map::reference Run);
   void cancelOpen(query_run &Run, bool Stop);
   void cancelOpen(query_run &Run, std::size_t Shard, bool Stop);
+  /// Cancels the attempts that are open at a shard that has answered.
+  void cancelRedundant(query_run &Run, std::size_t Shard);
   void finishWith(run_map::iterator Run, query_outcome Outcome);
   /// \returns the refusal of a request that needs a claim but has an unusable
   /// id, or nothing if the id is usable.
@@ -216,9 +226,15 @@
   /// attempt at its shard, or finishes the request.
   void continueAfterFailure(const attempt_record &Record,
                             const attempt_failed &Event);
-  /// Records that an attempt ended without a result. If its upstream died, the
-  /// query may become a suspect or condemned, and other VMs are notified.
+  /// Records that an attempt ended without a result. If its upstream died,
+  /// queries may become suspect or condemned, and other VMs are notified.
   void recordUpstreamDeath(const attempt_failed &Event);
+  /// Records that an attempt was answered with a result.
+  void recordAnswer(const attempt_answered &Event,
+                    const attempt_record &Record);
+  /// Records which upstreams are no longer in the catalogue.
+  void recordGoneUpstreams();
+  void report(std::vector<poison_notice> Notices);
   /// Finishes the requests with \p Fingerprint if it is condemned.
   void finishCondemned(query_fingerprint Fingerprint);
   /// \returns the shards in the order in which a run starts them.
--- a/packages/core/masticproxy/src/Query/query_engine_finish.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_finish.cpp
@@ -69,6 +69,13 @@
     cancel(Attempt, Stop);
 }
 
+void query_engine::cancelRedundant(query_run &Run, std::size_t Shard) {
+  // The query was answered by the shard, so it does not crash its upstreams.
+  for (attempt_id Attempt : Run.openAttempts(Shard))
+    Poison.ended(Attempt);
+  cancelOpen(Run, Shard, Run.cancelsRedundantAttempts());
+}
+
 void query_engine::cancel(attempt_id Attempt, bool Stop) {
   auto Found = Attempts.find(Attempt);
   if (Found == Attempts.end())
--- a/packages/core/masticproxy/src/Query/query_engine_hedges.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_hedges.cpp
@@ -56,7 +56,8 @@
     return Hedges.add(Clock.now() + CommonDelayPollInterval, Attempt);
   const replica *Chosen = Upstreams.chooseHedge(
       replicasOf(*Run, Record.Shard), Run->tried(Record.Shard), Clock.now());
-  bool Allowed = Chosen && Poison.mayStart(Run->fingerprint(), Chosen->Address);
+  bool Allowed =
+      Chosen && Poison.mayStart(Run->fingerprint(), Chosen->process());
   std::string_view Budget = Run->loadBudget(Record.Shard);
   if (Allowed && Upstreams.takeHedge(Budget, Clock.now()))
     return send(Record.Ticket, *Run, Record.Shard, *Chosen,
--- a/packages/core/masticproxy/src/Query/query_engine_poison.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_poison.cpp
@@ -1,3 +1,4 @@
+#include "masticproxy/src/Query/query_catalogue.h"
 #include "masticproxy/src/Query/query_engine.h"
 
 #include <algorithm>
@@ -19,13 +20,57 @@
 }
 
 void query_engine::recordUpstreamDeath(const attempt_failed &Event) {
-  if (!Event.UpstreamDied)
+  if (Event.UpstreamDied) {
+    if (auto Notice = Poison.upstreamDied(Event.Attempt))
+      report({std::move(*Notice)});
+    return;
+  }
+  if (Event.ConnectionRefused)
+    return report(Poison.refusedConnection(Event.Attempt));
+  switch (Event.Failure) {
+  case attempt_failure::NotSent:
+  // Of another process, which says nothing of the one before.
+  case attempt_failure::Misdirected:
     return Poison.ended(Event.Attempt);
-  std::optional<poison_notice> Notice = Poison.upstreamDied(Event.Attempt);
-  if (!Notice)
+  case attempt_failure::Unknown:
+    if (auto Held = Poison.lost(Event.Attempt))
+      finishCondemned(*Held);
     return;
-  Commands.emplace_back(*Notice);
-  finishCondemned(Notice->Fingerprint);
+  case attempt_failure::Refused:
+  case attempt_failure::Draining:
+  case attempt_failure::SnapshotGone:
+  case attempt_failure::Failed:
+    return Poison.refused(Event.Attempt);
+  }
+}
+
+void query_engine::recordAnswer(const attempt_answered &Event,
+                                const attempt_record &Record) {
+  // A response that is not the upstream's own may come from something in
+  // between, so it does not show that the upstream ran the query.
+  if (Record.Signed && Event.Result.Signature.empty())
+    return Poison.ended(Event.Attempt);
+  if (auto Ended = Poison.answered(Event.Attempt))
+    Commands.emplace_back(*Ended);
+}
+
+void query_engine::recordGoneUpstreams() {
+  if (!Poison.hasLost())
+    return;
+  std::optional<std::set<std::string_view>> Known = Catalogue->processes();
+  if (!Known)
+    return;
+  report(Poison.upstreamsGone([&Known](std::string_view Process) {
+    return !Known->contains(Process);
+  }));
+}
+
+void query_engine::report(std::vector<poison_notice> Notices) {
+  for (poison_notice &Notice : Notices) {
+    query_fingerprint Fingerprint = Notice.Fingerprint;
+    Commands.emplace_back(std::move(Notice));
+    finishCondemned(Fingerprint);
+  }
 }
 
 void query_engine::finishCondemned(query_fingerprint Fingerprint) {
--- a/packages/core/tests/engine_audit.h
+++ b/packages/core/tests/engine_audit.h
@@ -86,6 +86,7 @@
   void on(const claim_wanted &Wanted) { ClaimRequests.push_back(Wanted); }
   void on(const claim_unused &) {}
   void on(const poison_notice &) {}
+  void on(const suspicion_ended &) {}
   void on(const drain_notice &) {}
   void on(const probe_upstream &) {}
 
--- a/packages/core/tests/relay_world.h
+++ b/packages/core/tests/relay_world.h
@@ -193,6 +193,7 @@
 
   void carryOut(node &, claim_unused &) {}
   void carryOut(node &, poison_notice &) {}
+  void carryOut(node &, suspicion_ended &) {}
   void carryOut(node &, drain_notice &) {}
   void carryOut(node &, probe_upstream &) {}
 
--- a/packages/daemon/masticproxy/src/Daemon/upstream_check.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstream_check.cpp
@@ -16,11 +16,19 @@
 
 constexpr std::chrono::milliseconds CheckTimeout{100};
 
+connection_check resultOf(const boost::system::error_code &Error) {
+  if (!Error)
+    return connection_check::Accepted;
+  return Error == boost::asio::error::connection_refused
+             ? connection_check::Refused
+             : connection_check::Silent;
+}
+
 } // namespace
 
 void masticproxy::checkUpstream(boost::asio::io_context &Context,
                                 std::string_view Address,
-                                std::function<void(bool)> Done) {
+                                std::function<void(connection_check)> Done) {
   auto Timer = std::make_shared<boost::asio::steady_timer>(Context);
   Timer->expires_after(CheckDelay);
   Timer->async_wait(
@@ -30,7 +38,7 @@
         Stream->expires_after(CheckTimeout);
         Stream->async_connect(
             Endpoint, [Stream, Done](const boost::system::error_code &Error) {
-              Done(!Error);
+              Done(resultOf(Error));
             });
       });
 }
--- a/packages/daemon/masticproxy/src/Daemon/upstream_check.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstream_check.h
@@ -8,9 +8,18 @@
 
 namespace masticproxy {
 
-/// Calls \p Done with whether something accepts connections at \p Address.
+/// What became of a new connection to an upstream.
+enum class connection_check {
+  Accepted,
+  /// Nothing listens there.
+  Refused,
+  /// There was no response.
+  Silent
+};
+
+/// Calls \p Done with what becomes of a new connection to \p Address.
 void checkUpstream(boost::asio::io_context &Context, std::string_view Address,
-                   std::function<void(bool)> Done);
+                   std::function<void(connection_check)> Done);
 
 } // namespace masticproxy
 
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -73,7 +73,7 @@
   http_request Request = Command.Forwarded
                              ? toForwardedAttempt(Command, Remaining, Names)
                              : toUpstreamRequest(Command, Remaining);
-  Open.emplace(Attempt, open_attempt{Command, Connection});
+  Open.emplace(Attempt, open_attempt{Command, Connection, Clock.now()});
   Connection->exchange(
       std::move(Request), Remaining + DeadlineGrace,
       [this, Attempt](exchange_result R) { finish(Attempt, std::move(R)); });
@@ -103,9 +103,10 @@
 void upstreams_thread::carryOut(const probe_upstream &Command) {
   Counters.get("upstream_probes_total").add();
   std::string Upstream = Command.Upstream;
-  checkUpstream(Loop.context(), Upstream, [this, Upstream](bool Reached) {
-    report(upstream_probed{Upstream, Reached});
-  });
+  checkUpstream(
+      Loop.context(), Upstream, [this, Upstream](connection_check Result) {
+        report(upstream_probed{Upstream, Result == connection_check::Accepted});
+      });
 }
 
 void upstreams_thread::finish(attempt_id Attempt, exchange_result Result) {
@@ -115,23 +116,40 @@
   open_attempt Ended = std::move(Found->second);
   Open.erase(Found);
   if (auto *Response = std::get_if<http_response>(&Result)) {
+    Connections[Ended.Command.Upstream].LastResponse = Clock.now();
     upstream_event Event = read(Ended, std::move(*Response));
     giveBack(Ended.Command.Upstream, std::move(Ended.Connection));
     return report(std::move(Event));
   }
   giveBack(Ended.Command.Upstream, std::move(Ended.Connection));
-  const auto &Error = std::get<exchange_error>(Result);
   Counters.get("upstream_connection_errors_total").add();
-  if (!Error.MayHaveRun)
-    return report(attempt_failed{Attempt, attempt_failure::NotSent});
-  if (!Error.Closed)
-    return report(attempt_failed{Attempt, attempt_failure::Unknown});
+  reportLoss(Ended, std::get<exchange_error>(Result));
+}
+
+void upstreams_thread::reportLoss(const open_attempt &Ended,
+                                  const exchange_error &Error) {
+  attempt_failed Event{Ended.Command.Attempt, attempt_failure::Unknown};
+  if (!Error.MayHaveRun) {
+    Event.Failure = attempt_failure::NotSent;
+    Event.ConnectionRefused = Error.Refused;
+    return report(Event);
+  }
+  // One that responded to another attempt meanwhile is slow, not dead.
+  const std::string &Upstream = Ended.Command.Upstream;
+  bool Silent =
+      Error.TimedOut && Connections[Upstream].LastResponse < Ended.Started;
+  if (!Error.Closed && !Silent)
+    return report(Event);
   // An upstream at its limit of connections closes them too; one that died
-  // takes no connection.
-  checkUpstream(
-      Loop.context(), Ended.Command.Upstream, [this, Attempt](bool Alive) {
-        report(attempt_failed{Attempt, attempt_failure::Unknown, !Alive});
-      });
+  // takes no connection. A silent network path is no sign of its death.
+  bool Closed = Error.Closed;
+  checkUpstream(Loop.context(), Upstream,
+                [this, Event, Closed](connection_check Result) mutable {
+                  Event.UpstreamDied =
+                      Result == connection_check::Refused ||
+                      (Closed && Result == connection_check::Silent);
+                  report(Event);
+                });
 }
 
 upstream_event upstreams_thread::read(const open_attempt &Ended,
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
@@ -55,17 +55,22 @@
     unsigned Busy = 0;
     /// Connections the upstream accepts, over all VMs.
     unsigned Limit = 0;
+    time_point LastResponse;
   };
 
   struct open_attempt {
     send_attempt Command;
     connection Connection;
+    time_point Started;
   };
 
   void carryOut(const send_attempt &Command);
   void carryOut(const cancel_attempt &Command);
   void carryOut(const probe_upstream &Command);
   void finish(attempt_id Attempt, exchange_result Result);
+  /// Reports an attempt that ended without a response, once it is known
+  /// whether its upstream still accepts connections.
+  void reportLoss(const open_attempt &Ended, const exchange_error &Error);
   /// Says what \p Response to \p Ended means.
   upstream_event read(const open_attempt &Ended, http_response Response);
   void report(upstream_event Event);
--- a/packages/net/masticproxy/src/Net/http_connection.cpp
+++ b/packages/net/masticproxy/src/Net/http_connection.cpp
@@ -150,8 +150,9 @@
                   Error == boost::asio::error::broken_pipe ||
                   Error == http::error::end_of_stream ||
                   Error == http::error::partial_message;
+    bool Refused = Error == boost::asio::error::connection_refused;
     finish(exchange_error{MayHaveRun, TimedOut ? "timeout" : Error.message(),
-                          Closed});
+                          Closed, Refused, TimedOut});
   }
 
   void finish(exchange_result Result) {
--- a/packages/net/masticproxy/src/Net/http_connection.h
+++ b/packages/net/masticproxy/src/Net/http_connection.h
@@ -21,6 +21,10 @@
   std::string Text;
   /// The other end closed the connection.
   bool Closed = false;
+  /// Nothing listens at the address.
+  bool Refused = false;
+  /// The exchange took too long.
+  bool TimedOut = false;
 };
 
 /// The response, or why there is none.
