Share through the platform's store which queries crash upstreams

Cause: each VM knew of the deaths that it saw itself. A VM that started again knew nothing either. Change: notice_publisher decides what a VM writes: condemned queries at once, suspects after 500 ms, as most innocent ones are answered before; nothing of the rest. suspicion_thread writes one object a query with conditional calls and withdraws it when the suspicion ends or is forgotten. Each VM follows the kind as it follows configurations, from copies, and reads it at its start. On the product's own interface notices go to the VMs of all data centres, not of one. Why it works: a send that starts after the news runs as a suspect or not at all, so deaths grow with the sends within the time of the news (2.3 s at most in touch), not with the VMs; the rule leaves 4 s.

--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -37,6 +37,8 @@
      "lag, which costs the platform less."},
     {"platform.registrations_within", value_kind::Duration, "\"1s\"", 100,
      600000, "", "The same for what upstreams register of themselves."},
+    {"platform.suspicions_within", value_kind::Duration, "\"1s\"", 100, 600000,
+     "", "The same for queries that crash upstreams, as other VMs found out."},
     {"peers.exchange", value_kind::Boolean, "true", 0, 0, "",
      "Whether VMs exchange members, configuration and attempts."},
     {"peers.heartbeat_interval", value_kind::Duration, "\"500ms\"", 50, 10000,
--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -57,6 +57,7 @@
   S.PlatformWatchWait = Values.span("platform.watch_wait");
   S.ConfigurationWithin = Values.span("platform.configuration_within");
   S.RegistrationsWithin = Values.span("platform.registrations_within");
+  S.SuspicionsWithin = Values.span("platform.suspicions_within");
   S.PeersExchange = Values.flag("peers.exchange");
   S.HeartbeatInterval = Values.span("peers.heartbeat_interval");
   S.SuspectAfter = Values.span("peers.suspect_after");
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -28,6 +28,7 @@
   std::chrono::milliseconds ConfigurationWithin;
   /// Time in which a registration has to be in force here.
   std::chrono::milliseconds RegistrationsWithin;
+  std::chrono::milliseconds SuspicionsWithin;
   bool PeersExchange;
   std::chrono::milliseconds HeartbeatInterval;
   std::chrono::milliseconds SuspectAfter;
--- a/packages/core/masticproxy/src/Discovery/discovery_event.h
+++ b/packages/core/masticproxy/src/Discovery/discovery_event.h
@@ -3,6 +3,8 @@
 
 #include "masticproxy/src/Discovery/routing_configuration.h"
 #include "masticproxy/src/Discovery/upstream_entry.h"
+#include "masticproxy/src/Poison/poison_notice.h"
+#include "masticproxy/src/Poison/suspicion_ended.h"
 
 #include <memory>
 #include <string>
@@ -31,9 +33,10 @@
   std::string Instance;
 };
 
-/// \brief All that the routing directory reacts to.
-using discovery_event = std::variant<configuration_read, upstreams_listed,
-                                     upstream_registered, upstream_lapsed>;
+/// \brief All that a VM learns from the objects of the platform's store.
+using discovery_event =
+    std::variant<configuration_read, upstreams_listed, upstream_registered,
+                 upstream_lapsed, poison_notice, suspicion_ended>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Discovery/routing_directory.h
+++ b/packages/core/masticproxy/src/Discovery/routing_directory.h
@@ -44,6 +44,9 @@
   bool on(upstreams_listed Event);
   bool on(upstream_registered Event);
   bool on(const upstream_lapsed &Event);
+  // Routing does not depend on these.
+  static bool on(const poison_notice &) { return false; }
+  static bool on(const suspicion_ended &) { return false; }
 
   upstream_registry Registry;
   std::shared_ptr<const routing_configuration> Configuration;
--- /dev/null
+++ b/packages/core/tests/notice_publisher_test.cpp
@@ -0,0 +1,110 @@
+/// \file
+/// Which suspicions of a VM are written to the platform, and when.
+
+#include "manual_clock.h"
+#include "masticproxy/Poison"
+
+#include <criterion/criterion.h>
+
+using namespace masticproxy;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr query_fingerprint Query = 1;
+constexpr query_fingerprint Other = 2;
+constexpr std::uint64_t Version = 7;
+
+poison_notice notice(query_fingerprint Fingerprint, unsigned Rounds) {
+  return {Fingerprint, Rounds, "shard"};
+}
+
+/// \returns the notice that \p Publisher wants written, which must be one.
+publish_notice published(notice_publisher &Publisher) {
+  std::optional<notice_write> Write = Publisher.next();
+  cr_assert(Write && std::holds_alternative<publish_notice>(*Write));
+  return std::get<publish_notice>(*Write);
+}
+
+} // namespace
+
+Test(notice_publisher, writes_a_suspicion_that_lasts) {
+  manual_clock Clock;
+  notice_publisher Publisher(Clock);
+  Publisher.onNotice(notice(Query, 1));
+  cr_assert(not Publisher.next());
+  cr_assert(Publisher.nextWakeup() == Clock.now() + poison_timing{}.ShareAfter);
+  Clock.advance(poison_timing{}.ShareAfter);
+  publish_notice Write = published(Publisher);
+  cr_assert(Write.Version == 0 && Write.Notice.Rounds == 1);
+  cr_assert(Write.Notice.Age == poison_timing{}.ShareAfter);
+  Publisher.written(Write, Version);
+  cr_assert(not Publisher.next());
+}
+
+// Guards against: each innocent query that was in flight at a death costs the
+// platform a write.
+Test(notice_publisher, writes_nothing_of_a_suspicion_that_ends_soon) {
+  manual_clock Clock;
+  notice_publisher Publisher(Clock);
+  Publisher.onNotice(notice(Query, 1));
+  Publisher.onEnded({Query});
+  Clock.advance(poison_timing{}.ShareAfter);
+  cr_assert(not Publisher.next() && Publisher.size() == 0);
+}
+
+Test(notice_publisher, writes_condemned_queries_at_once_and_first) {
+  manual_clock Clock;
+  notice_publisher Publisher(Clock);
+  Publisher.onNotice(notice(Query, 1));
+  Clock.advance(poison_timing{}.ShareAfter);
+  Publisher.onNotice(notice(Other, 2));
+  cr_assert(published(Publisher).Notice.Fingerprint == Other);
+}
+
+Test(notice_publisher, writes_again_over_less_and_never_over_more) {
+  manual_clock Clock;
+  notice_publisher Publisher(Clock);
+  Publisher.onNotice(notice(Query, 2));
+  publish_notice Write = published(Publisher);
+  Publisher.conflicted(Write, /*HalfRounds=*/2, Version);
+  Write = published(Publisher);
+  cr_assert(Write.Version == Version);
+  Publisher.conflicted(Write, /*HalfRounds=*/6, Version + 1);
+  cr_assert(not Publisher.next());
+}
+
+Test(notice_publisher, withdraws_what_it_wrote_when_the_suspicion_ends) {
+  manual_clock Clock;
+  notice_publisher Publisher(Clock);
+  Publisher.onNotice(notice(Query, 1));
+  Clock.advance(poison_timing{}.ShareAfter);
+  Publisher.written(published(Publisher), Version);
+  Publisher.onEnded({Query});
+  std::optional<notice_write> Write = Publisher.next();
+  cr_assert(std::get<withdraw_notice>(*Write).Version == Version);
+  Publisher.written(*Write, 0);
+  cr_assert(Publisher.size() == 0 && not Publisher.nextWakeup());
+}
+
+// Guards against: objects of queries that nobody sends any more stay at the
+// platform for good.
+Test(notice_publisher, withdraws_what_it_wrote_once_it_is_forgotten) {
+  manual_clock Clock;
+  notice_publisher Publisher(Clock);
+  Publisher.onNotice(notice(Query, 2));
+  Publisher.written(published(Publisher), Version);
+  Clock.advance(poison_timing{}.forgottenAfter(2));
+  std::optional<notice_write> Write = Publisher.next();
+  cr_assert(std::holds_alternative<withdraw_notice>(*Write));
+  Publisher.conflicted(*Write, 0, 0);
+  cr_assert(Publisher.size() == 0);
+}
+
+Test(notice_publisher, holds_a_bounded_number_of_queries) {
+  manual_clock Clock;
+  notice_publisher Publisher(Clock);
+  for (query_fingerprint I = 0; I < 5000; ++I)
+    Publisher.onNotice(notice(I, 1));
+  cr_assert(Publisher.size() <= 1024);
+}
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.cpp
@@ -77,13 +77,18 @@
       [this](discovery_event Event) { on(std::move(Event)); });
   Links.Registrations.drain(
       [this](discovery_event Event) { on(std::move(Event)); });
+  Links.Suspicions.drain([this](const discovery_event &Event) {
+    if (auto *Notice = std::get_if<poison_notice>(&Event))
+      on(*Notice);
+    else if (auto *Ended = std::get_if<suspicion_ended>(&Event))
+      on(*Ended);
+  });
   publishRouting();
   Links.FromPeers.drain([this](peer_message Message) {
     std::visit([this](auto M) { on(std::move(M)); }, std::move(Message));
   });
   Links.FromEngine.drain([this](engine_notice Notice) {
-    std::visit([this](auto N) { sendToPeers(std::move(N)); },
-               std::move(Notice));
+    std::visit([this](auto N) { share(std::move(N)); }, std::move(Notice));
   });
   decide();
 }
@@ -225,6 +230,33 @@
     Links.Counters.get("notice_ring_full_total").add();
 }
 
+void control_duty::on(const suspicion_ended &Ended) {
+  // A full ring drops it: the query stays suspect until it is answered.
+  if (!Links.ToEngine.push(Ended))
+    Links.Counters.get("notice_ring_full_total").add();
+}
+
+void control_duty::share(poison_notice Notice) {
+  shareThroughPlatform(Notice);
+  // VMs of other data centres meet the same query, so they are told as well.
+  for (const member_info &Vm : Remotes)
+    send(Vm.PeerAddress, Notice);
+  sendToPeers(std::move(Notice));
+}
+
+void control_duty::share(const suspicion_ended &Ended) {
+  shareThroughPlatform(Ended);
+}
+
+void control_duty::shareThroughPlatform(const suspicion_news &News) {
+  if (Links.Settings.PlatformIsStore && !Links.OwnSuspicions.push(News))
+    Links.Counters.get("notice_ring_full_total").add();
+}
+
+void control_duty::share(drain_notice Notice) {
+  sendToPeers(std::move(Notice));
+}
+
 void control_duty::on(const drain_notice &Notice) {
   Links.Counters.get("drain_notices_total", "direction=\"received\"").add();
   // A full ring drops it: the sender says it again.
--- a/packages/daemon/masticproxy/src/Daemon/control_duty.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_duty.h
@@ -44,7 +44,13 @@
   void on(const configuration_pull &Pull);
   void takeIn(const configuration_push &Push);
   void on(const poison_notice &Notice);
+  void on(const suspicion_ended &Ended);
   void on(const drain_notice &Notice);
+  /// Tells other VMs what this one found out.
+  void share(poison_notice Notice);
+  void share(const suspicion_ended &Ended);
+  void share(drain_notice Notice);
+  void shareThroughPlatform(const suspicion_news &News);
   bool takeOver(const configuration_record &Record);
   void on(discovery_event Event);
   void publishRouting();
--- a/packages/daemon/masticproxy/src/Daemon/control_links.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_links.h
@@ -30,6 +30,9 @@
   /// What the platform's store says, one ring for each kind of object.
   discovery_ring &Configurations;
   discovery_ring &Registrations;
+  discovery_ring &Suspicions;
+  /// What this VM finds out, for the platform's store.
+  suspicion_ring &OwnSuspicions;
   update_ring &ToEngine;
   peer_outbox_ring &ToPeers;
   published<node_status> &Status;
--- a/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
@@ -49,9 +49,12 @@
 /// From the control duty to the engine.
 using engine_update =
     std::variant<catalogue_changed, grant_renewed, remotes_changed,
-                 poison_notice, drain_notice>;
+                 poison_notice, suspicion_ended, drain_notice>;
 /// From the engine to the control duty: what the other VMs have to hear.
-using engine_notice = std::variant<poison_notice, drain_notice>;
+using engine_notice =
+    std::variant<poison_notice, suspicion_ended, drain_notice>;
+/// What this VM found out about queries that crash upstreams.
+using suspicion_news = std::variant<poison_notice, suspicion_ended>;
 /// From the engine to the upstreams duty.
 using upstream_command =
     std::variant<send_attempt, cancel_attempt, probe_upstream>;
@@ -83,6 +86,7 @@
 using claim_decision_ring = ring_channel<claim_decision>;
 using platform_event_ring = ring_channel<platform_event>;
 using notice_ring = ring_channel<engine_notice>;
+using suspicion_ring = ring_channel<suspicion_news>;
 using peer_inbox_ring = ring_channel<peer_message>;
 using peer_outbox_ring = ring_channel<send_to_peer>;
 
--- a/packages/daemon/masticproxy/src/Daemon/discovery_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_log.cpp
@@ -27,6 +27,9 @@
   void operator()(const upstream_lapsed &Event) const {
     logInfo("event=upstream_lapsed instance=" + Event.Instance);
   }
+  // The engine's thread writes these lines.
+  void operator()(const poison_notice &) const {}
+  void operator()(const suspicion_ended &) const {}
 };
 
 } // namespace
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -42,16 +42,15 @@
 
 } // namespace
 
-discovery_thread::discovery_thread(std::string Kind, const clock &Clock,
-                                   const platform_caller &Platform,
-                                   const object_codec &Codec,
-                                   std::chrono::milliseconds WatchWait,
-                                   std::chrono::milliseconds Within,
-                                   counter_registry &Counters,
-                                   discovery_ring &Control)
+discovery_thread::discovery_thread(
+    std::string Kind, const clock &Clock, const platform_caller &Platform,
+    const object_codec &Codec, std::chrono::milliseconds WatchWait,
+    std::chrono::milliseconds Within, counter_registry &Counters,
+    discovery_ring &Control, read_freshness ListFreshness)
     : Kind(std::move(Kind)), Clock(Clock),
-      Feed(Platform, Codec, watchFreshness(Within)), WatchWait(WatchWait),
-      Counters(Counters), Control(Control), Backoff(FirstPause, LongestPause) {}
+      Feed(Platform, Codec, watchFreshness(Within), ListFreshness),
+      WatchWait(WatchWait), Counters(Counters), Control(Control),
+      Backoff(FirstPause, LongestPause) {}
 
 discovery_thread::~discovery_thread() { stop(); }
 
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -22,12 +22,14 @@
 class discovery_thread {
 public:
   /// \p Kind names what is followed, in logs and counters. Changes have to be
-  /// in force \p Within that time of their acknowledgement.
+  /// in force \p Within that time of their acknowledgement. Lists after the
+  /// first are read from a source of \p ListFreshness.
   discovery_thread(std::string Kind, const clock &Clock,
                    const platform_caller &Platform, const object_codec &Codec,
                    std::chrono::milliseconds WatchWait,
                    std::chrono::milliseconds Within, counter_registry &Counters,
-                   discovery_ring &Control);
+                   discovery_ring &Control,
+                   read_freshness ListFreshness = read_freshness::Newest);
   ~discovery_thread();
 
   /// Lets \p NewLeader find the end of an outage: while it reaches the platform
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -214,6 +214,8 @@
     handle(std::move(*Changed));
   else if (auto *Notice = std::get_if<poison_notice>(&Update))
     hear(std::move(*Notice));
+  else if (auto *Ended = std::get_if<suspicion_ended>(&Update))
+    handle(*Ended);
   else if (auto *Drain = std::get_if<drain_notice>(&Update))
     handle(std::move(*Drain));
   else if (auto *Remotes = std::get_if<remotes_changed>(&Update))
@@ -223,6 +225,9 @@
 }
 
 void engine_thread::hear(poison_notice Notice) {
+  // Each list of the store's objects tells what was heard before.
+  if (!Engine.isNews(Notice))
+    return;
   auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Notice.Age);
   logInfo(
       "event=upstream_death_heard query=" + std::to_string(Notice.Fingerprint) +
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -65,6 +65,7 @@
   void carryOut(const claim_wanted &Command);
   void carryOut(const claim_unused &Command);
   void carryOut(const poison_notice &Command);
+  void carryOut(const suspicion_ended &Command);
   void carryOut(const drain_notice &Command);
   void take(engine_update Update);
   /// Takes in that an upstream died elsewhere.
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
@@ -37,6 +37,13 @@
     Counters.get("notice_ring_full_total").add();
 }
 
+void engine_thread::carryOut(const suspicion_ended &Command) {
+  Counters.get("poison_total", "verdict=\"cleared\"").add();
+  logInfo("event=query_cleared query=" + std::to_string(Command.Fingerprint));
+  if (!Control->push(Command))
+    Counters.get("notice_ring_full_total").add();
+}
+
 void engine_thread::carryOut(const drain_notice &Command) {
   Counters.get("drain_notices_total", "direction=\"sent\"").add();
   // An older one repeats what stands in the time line already.
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -13,12 +13,15 @@
 #include "masticproxy/src/Daemon/platform_thread.h"
 #include "masticproxy/src/Daemon/relay_thread.h"
 #include "masticproxy/src/Daemon/request_loops.h"
+#include "masticproxy/src/Daemon/suspicion_thread.h"
 #include "masticproxy/src/Daemon/upstreams_thread.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Net/http_platform.h"
 #include "masticproxy/src/Net/os_clock.h"
 #include "masticproxy/src/Platform/configuration_codec.h"
 #include "masticproxy/src/Platform/header_names.h"
+#include "masticproxy/src/Platform/store_writer.h"
+#include "masticproxy/src/Platform/suspicion_codec.h"
 #include "masticproxy/src/Platform/upstream_codec.h"
 
 #include <stop_token>
@@ -92,11 +95,14 @@
         Peers(Settings.PeersAddress, Timeline, Counters),
         PlatformDuty(Platform, Clock, Settings.PlatformWatchWait, Counters),
         Claims(Platform, Clock, processName(), {}, Counters),
+        SuspicionWriter(StoreCaller, platform::SuspicionKind),
+        OwnSuspicions(SuspicionWriter, Clock, Counters),
         FromPlatform(ControlRingCapacity, [this] { wakeControl(); }),
         FromPeers(ControlRingCapacity, [this] { wakeControl(); }),
         FromEngine(ControlRingCapacity, [this] { wakeControl(); }),
         Configurations(ControlRingCapacity, [this] { wakeControl(); }),
         Registrations(ControlRingCapacity, [this] { wakeControl(); }),
+        Suspicions(ControlRingCapacity, [this] { wakeControl(); }),
         ConfigurationDuty("configuration", Clock, StoreCaller,
                           ConfigurationCodec, Settings.PlatformWatchWait,
                           Settings.ConfigurationWithin, Counters,
@@ -104,6 +110,10 @@
         RegistrationDuty("registrations", Clock, StoreCaller, UpstreamCodec,
                          Settings.PlatformWatchWait,
                          Settings.RegistrationsWithin, Counters, Registrations),
+        // A suspicion that a list lacks costs one death at this VM at most.
+        SuspicionDuty("suspicions", Clock, StoreCaller, SuspicionCodec,
+                      Settings.PlatformWatchWait, Settings.SuspicionsWithin,
+                      Counters, Suspicions, read_freshness::MayLag),
         Links{Settings,
               Clock,
               Counters,
@@ -115,6 +125,8 @@
               FromEngine,
               Configurations,
               Registrations,
+              Suspicions,
+              OwnSuspicions.suspicions(),
               Engine.updates(),
               Peers.outbox(),
               Status,
@@ -136,6 +148,7 @@
     Peers.connect(FromPeers);
     PlatformDuty.connect(FromPlatform);
     ConfigurationDuty.waitFor(RegistrationDuty);
+    SuspicionDuty.waitFor(ConfigurationDuty);
   }
 
   /// Names this start of the VM.
@@ -166,6 +179,7 @@
   platform_caller StoreCaller;
   platform::configuration_codec ConfigurationCodec;
   platform::upstream_codec UpstreamCodec;
+  platform::suspicion_codec SuspicionCodec{Clock};
   http_platform Platform;
   request_loops Loops;
   engine_thread Engine;
@@ -175,13 +189,17 @@
   peers_thread Peers;
   platform_thread PlatformDuty;
   claims_thread Claims;
+  platform::store_writer SuspicionWriter;
+  suspicion_thread OwnSuspicions;
   platform_event_ring FromPlatform;
   peer_inbox_ring FromPeers;
   notice_ring FromEngine;
   discovery_ring Configurations;
   discovery_ring Registrations;
+  discovery_ring Suspicions;
   discovery_thread ConfigurationDuty;
   discovery_thread RegistrationDuty;
+  discovery_thread SuspicionDuty;
   control_links Links;
   control_duty Duty;
   control_system_config ActorConfig;
@@ -195,9 +213,12 @@
 entry_daemon::~entry_daemon() {
   Parts->ConfigurationDuty.beginStop();
   Parts->RegistrationDuty.beginStop();
+  Parts->SuspicionDuty.beginStop();
   Parts->PlatformStop.request_stop();
   Parts->ConfigurationDuty.stop();
   Parts->RegistrationDuty.stop();
+  Parts->SuspicionDuty.stop();
+  Parts->OwnSuspicions.stop();
   Parts->PlatformDuty.stop();
   Parts->Claims.stop();
   Parts->Peers.stop();
@@ -223,6 +244,8 @@
   if (Parts->Settings.PlatformIsStore) {
     Parts->ConfigurationDuty.start();
     Parts->RegistrationDuty.start();
+    Parts->SuspicionDuty.start();
+    Parts->OwnSuspicions.start();
   } else {
     Parts->PlatformDuty.start();
     Parts->Claims.start();
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 RUNS=${1:-20000}
 SEED=${2:-1}
-TARGETS=(frame settings index request)
+TARGETS=(frame settings index request store)
 cmake -S . -B build/fuzz -G Ninja -DMASTICPROXY_FUZZ=ON -DCMAKE_CXX_COMPILER=clang++ >/dev/null
 # The tests are built and run elsewhere.
 cmake --build build/fuzz --target "${TARGETS[@]/#/fuzz_}"
