--- a/packages/core/masticproxy/src/Discovery/routing_directory.h
+++ b/packages/core/masticproxy/src/Discovery/routing_directory.h
@@ -45,8 +45,8 @@
   bool on(upstream_registered Event);
   bool on(const upstream_lapsed &Event);
   // Routing does not depend on these.
-  static bool on(const poison_notice &) { return false; }
-  static bool on(const suspicion_ended &) { return false; }
+  bool on(const poison_notice &) const { return false; }
+  bool on(const suspicion_ended &) const { return false; }
 
   upstream_registry Registry;
   std::shared_ptr<const routing_configuration> Configuration;
--- a/packages/core/masticproxy/src/Poison/poison_notice.h
+++ b/packages/core/masticproxy/src/Poison/poison_notice.h
@@ -23,6 +23,13 @@
   /// Whether one more death counted for half a round, as it may have another
   /// cause.
   bool HalfRound = false;
+  /// Whether the death is only presumed, as the upstream left the list of
+  /// registered ones; not sent to other VMs.
+  bool Presumed = false;
+
+  /// \returns whether other VMs are told. Upstreams leave the list for many
+  /// reasons, and each would make many innocent queries suspect everywhere.
+  bool isShared() const { return !Presumed || Rounds > 1; }
 
   /// \returns the number of half rounds, which orders the notices of a query.
   std::uint64_t halfRounds() const {
--- a/packages/core/masticproxy/src/Query/query_engine_poison.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_poison.cpp
@@ -60,9 +60,13 @@
   std::optional<std::set<std::string_view>> Known = Catalogue->processes();
   if (!Known)
     return;
-  report(Poison.upstreamsGone([&Known](std::string_view Process) {
+  auto IsGone = [&Known](std::string_view Process) {
     return !Known->contains(Process);
-  }));
+  };
+  std::vector<poison_notice> Notices = Poison.upstreamsGone(IsGone);
+  for (poison_notice &Notice : Notices)
+    Notice.Presumed = true;
+  report(std::move(Notices));
 }
 
 void query_engine::report(std::vector<poison_notice> Notices) {
--- /dev/null
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_plan.h
@@ -0,0 +1,27 @@
+#ifndef MASTICPROXY_DAEMON_DISCOVERY_PLAN_H
+#define MASTICPROXY_DAEMON_DISCOVERY_PLAN_H
+
+#include "masticproxy/src/Discovery/read_freshness.h"
+
+#include <chrono>
+#include <string>
+
+namespace masticproxy {
+
+/// \brief How one kind of the platform's objects is followed.
+struct discovery_plan {
+  /// Name of the kind in logs and counters.
+  std::string Kind;
+  /// How long a watch waits for a change.
+  std::chrono::milliseconds WatchWait;
+  /// Time from its acknowledgement in which a change has to be in force.
+  std::chrono::milliseconds Within;
+  /// Source of the lists after the first one.
+  read_freshness ListFreshness = read_freshness::Newest;
+  /// Pause after a call that failed; it doubles with each further one.
+  std::chrono::milliseconds FirstPause{100};
+};
+
+} // namespace masticproxy
+
+#endif
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds FirstPause{100};
-
 /// Short enough for what a call brings to be in force before the bounds hold
 /// again, which is 4 s after an outage.
 constexpr std::chrono::milliseconds LongestPause{2500};
@@ -42,15 +40,15 @@
 
 } // namespace
 
-discovery_thread::discovery_thread(
-    std::string Kind, const clock &Clock, const platform_caller &Platform,
-    const object_codec &Codec, std::chrono::milliseconds WatchWait,
-    std::chrono::milliseconds Within, counter_registry &Counters,
-    discovery_ring &Control, read_freshness ListFreshness)
-    : Kind(std::move(Kind)), Clock(Clock),
-      Feed(Platform, Codec, watchFreshness(Within), ListFreshness),
-      WatchWait(WatchWait), Counters(Counters), Control(Control),
-      Backoff(FirstPause, LongestPause) {}
+discovery_thread::discovery_thread(discovery_plan NewPlan, const clock &Clock,
+                                   const platform_caller &Platform,
+                                   const object_codec &Codec,
+                                   counter_registry &Counters,
+                                   discovery_ring &Control)
+    : Plan(std::move(NewPlan)), Clock(Clock),
+      Feed(Platform, Codec, watchFreshness(Plan.Within), Plan.ListFreshness),
+      Counters(Counters), Control(Control),
+      Backoff(Plan.FirstPause, LongestPause) {}
 
 discovery_thread::~discovery_thread() { stop(); }
 
@@ -83,8 +81,8 @@
 }
 
 void discovery_thread::step() {
-  Counters.get("platform_calls_total", "kind=\"" + Kind + "\"").add();
-  feed_result Result = Feed.next(WatchWait);
+  Counters.get("platform_calls_total", "kind=\"" + Plan.Kind + "\"").add();
+  feed_result Result = Feed.next(Plan.WatchWait);
   if (auto *Failure = std::get_if<platform_unavailable>(&Result))
     return onFailure(*Failure);
   onSuccess();
@@ -94,7 +92,7 @@
 void discovery_thread::onSuccess() {
   Backoff.onSuccess();
   if (!Reachable.exchange(true))
-    logInfo("event=platform_answers kind=" + Kind);
+    logInfo("event=platform_answers kind=" + Plan.Kind);
   if (Follower)
     Follower->wakeUp();
 }
@@ -124,11 +122,11 @@
 void discovery_thread::onFailure(const platform_unavailable &Failure) {
   if (stopping())
     return;
-  Counters.get("platform_errors_total", "kind=\"" + Kind + "\"").add();
+  Counters.get("platform_errors_total", "kind=\"" + Plan.Kind + "\"").add();
   // Bounded by the pauses between the calls.
   bool First = Reachable.exchange(false);
   logWarning("event=platform_" + std::string(First ? "lost" : "still_lost") +
-             " kind=" + Kind + " reason=\"" + Failure.Reason + "\"");
+             " kind=" + Plan.Kind + " reason=\"" + Failure.Reason + "\"");
   // A call that failed alone is no outage, and is made again soon.
   if (Leader && !Leader->reachable())
     return awaitLeader();
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -3,6 +3,7 @@
 
 #include "masticproxy/src/Base/retry_backoff.h"
 #include "masticproxy/src/Daemon/daemon_rings.h"
+#include "masticproxy/src/Daemon/discovery_plan.h"
 #include "masticproxy/src/Net/object_feed.h"
 
 #include <atomic>
@@ -21,15 +22,9 @@
 /// they say.
 class discovery_thread {
 public:
-  /// \p Kind names what is followed, in logs and counters. Changes have to be
-  /// in force \p Within that time of their acknowledgement. Lists after the
-  /// first are read from a source of \p ListFreshness.
-  discovery_thread(std::string Kind, const clock &Clock,
+  discovery_thread(discovery_plan Plan, const clock &Clock,
                    const platform_caller &Platform, const object_codec &Codec,
-                   std::chrono::milliseconds WatchWait,
-                   std::chrono::milliseconds Within, counter_registry &Counters,
-                   discovery_ring &Control,
-                   read_freshness ListFreshness = read_freshness::Newest);
+                   counter_registry &Counters, discovery_ring &Control);
   ~discovery_thread();
 
   /// Lets \p NewLeader find the end of an outage: while it reaches the platform
@@ -62,10 +57,9 @@
   duration gatherTime() const;
   bool stopping();
 
-  std::string Kind;
+  discovery_plan Plan;
   const clock &Clock;
   object_feed Feed;
-  std::chrono::milliseconds WatchWait;
   counter_registry &Counters;
   discovery_ring &Control;
   std::atomic<bool> Reachable{false};
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
@@ -31,7 +31,10 @@
                  Command.Shard);
   logWarning("event=query_" + std::string(Held) + " query=" +
              std::to_string(Command.Fingerprint) + " shard=" + Command.Shard +
-             " rounds=" + std::to_string(Command.Rounds));
+             " rounds=" + std::to_string(Command.Rounds) +
+             " presumed=" + (Command.Presumed ? "true" : "false"));
+  if (!Command.isShared())
+    return;
   // A lost notice costs the other VMs one more death each at most.
   if (!Control->push(Command))
     Counters.get("notice_ring_full_total").add();
