After an outage of the store, configuration and registrations become current together

Cause, in three parts: the kinds of objects are followed by threads of their own, and only the leader's first success woke the others; the configuration's own look at the store, every 10 s, came first and woke nobody. The configuration went into force by itself. The grace of a lapsed registration counted from when the VM heard of it. Class of fault: state that is learned late is taken for state that has just changed.

Change: whichever thread is answered first lets the others ask at once. A configuration that comes while registrations are outdated waits for them, 1 s at most. A list after an outage carries the time of the last failed call; what lapsed meanwhile is used until 3.7 s after that at the latest.

--- a/packages/core/masticproxy/src/Discovery/discovery_event.h
+++ b/packages/core/masticproxy/src/Discovery/discovery_event.h
@@ -1,12 +1,14 @@
 #ifndef MASTICPROXY_DISCOVERY_DISCOVERY_EVENT_H
 #define MASTICPROXY_DISCOVERY_DISCOVERY_EVENT_H
 
+#include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Discovery/routing_configuration.h"
 #include "masticproxy/src/Discovery/upstream_entry.h"
 #include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Poison/suspicion_ended.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -21,8 +23,14 @@
 /// \brief These are all registered upstreams.
 struct upstreams_listed {
   std::vector<upstream_entry> Entries;
+  /// A time at which the platform was out of reach, if calls failed since the
+  /// list before.
+  std::optional<time_point> OutOfReachAt = {};
 };
 
+/// \brief Registrations can't be read: what is known of upstreams becomes old.
+struct registrations_outdated {};
+
 /// \brief An upstream registered itself, or changed its registration.
 struct upstream_registered {
   upstream_entry Entry;
@@ -36,7 +44,8 @@
 /// \brief All that a VM learns from the objects of the platform's store.
 using discovery_event =
     std::variant<configuration_read, upstreams_listed, upstream_registered,
-                 upstream_lapsed, poison_notice, suspicion_ended>;
+                 upstream_lapsed, registrations_outdated, poison_notice,
+                 suspicion_ended>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Discovery/routing_directory.cpp
+++ b/packages/core/masticproxy/src/Discovery/routing_directory.cpp
@@ -7,6 +7,14 @@
 
 using namespace masticproxy;
 
+namespace {
+
+/// Longest time that a configuration waits for the registrations: the platform
+/// has just answered, and they come with the next call.
+constexpr std::chrono::milliseconds LongestWait{1000};
+
+} // namespace
+
 void routing_directory::note(discovery_event Event) {
   bool Mattered =
       std::visit([this](auto E) { return on(std::move(E)); }, std::move(Event));
@@ -14,6 +22,7 @@
 }
 
 std::shared_ptr<const query_catalogue> routing_directory::takeChanged() {
+  takeWaiting();
   Changed = Registry.expire() || Changed;
   if (!complete() || !std::exchange(Changed, false))
     return nullptr;
@@ -33,19 +42,39 @@
 
 bool routing_directory::on(configuration_read Event) {
   // A read may be stale, and answers may overtake each other.
-  bool Newer =
-      !Configuration || Event.Configuration->Version > Configuration->Version;
-  if (Newer)
-    Configuration = std::move(Event.Configuration);
-  return Newer;
+  const auto &Newest = Waiting ? Waiting : Configuration;
+  bool Newer = !Newest || Event.Configuration->Version > Newest->Version;
+  if (!Newer)
+    return false;
+  if (Outdated && Configuration) {
+    if (!Waiting)
+      WaitsUntil = Clock.now() + LongestWait;
+    Waiting = std::move(Event.Configuration);
+    return false;
+  }
+  Configuration = std::move(Event.Configuration);
+  return true;
+}
+
+void routing_directory::takeWaiting() {
+  if (!Waiting || (Outdated && Clock.now() < WaitsUntil))
+    return;
+  Configuration = std::exchange(Waiting, nullptr);
+  Changed = true;
 }
 
 bool routing_directory::on(upstreams_listed Event) {
   UpstreamsListed = true;
-  Registry.onListed(std::move(Event.Entries));
+  Outdated = false;
+  Registry.onListed(std::move(Event.Entries), Event.OutOfReachAt);
   return true;
 }
 
+bool routing_directory::on(const registrations_outdated &) {
+  Outdated = true;
+  return false;
+}
+
 bool routing_directory::on(upstream_registered Event) {
   Registry.onEntry(std::move(Event.Entry));
   return true;
--- a/packages/core/masticproxy/src/Discovery/routing_directory.h
+++ b/packages/core/masticproxy/src/Discovery/routing_directory.h
@@ -17,10 +17,13 @@
 ///
 /// Events go in through note(), also many together; takeChanged() gives one
 /// catalogue for all of them. A configuration older than the one in force is
-/// never taken over.
+/// never taken over. One that comes while the registrations are outdated may
+/// name upstreams that are not known yet, so it waits for them, but not for
+/// long.
 class routing_directory {
 public:
-  explicit routing_directory(const clock &Clock) : Registry(Clock) {}
+  explicit routing_directory(const clock &Clock)
+      : Clock(Clock), Registry(Clock) {}
 
   /// Takes \p Event in.
   void note(discovery_event Event);
@@ -44,13 +47,22 @@
   bool on(upstreams_listed Event);
   bool on(upstream_registered Event);
   bool on(const upstream_lapsed &Event);
+  bool on(const registrations_outdated &);
   // Routing does not depend on these.
   bool on(const poison_notice &) const { return false; }
   bool on(const suspicion_ended &) const { return false; }
 
+  /// Brings the configuration that waits into force if its time has come.
+  void takeWaiting();
+
+  const clock &Clock;
   upstream_registry Registry;
   std::shared_ptr<const routing_configuration> Configuration;
+  /// Newer than the one in force; waits for the registrations.
+  std::shared_ptr<const routing_configuration> Waiting;
+  time_point WaitsUntil{};
   bool UpstreamsListed = false;
+  bool Outdated = false;
   bool Changed = false;
 };
 
--- a/packages/core/masticproxy/src/Discovery/upstream_registry.cpp
+++ b/packages/core/masticproxy/src/Discovery/upstream_registry.cpp
@@ -12,9 +12,18 @@
 /// return.
 constexpr std::chrono::milliseconds ReturnTime{2200};
 
+/// Latest time after the platform was out of reach at which an upstream whose
+/// registration lapsed meanwhile is used: the bounds on work that goes to
+/// upstreams that left hold again 4 s after the platform's return.
+constexpr std::chrono::milliseconds LatestUse{3700};
+
 } // namespace
 
-void upstream_registry::onListed(std::vector<upstream_entry> Entries) {
+void upstream_registry::onListed(std::vector<upstream_entry> Entries,
+                                 std::optional<time_point> OutOfReachAt) {
+  time_point GoneAt = Clock.now() + ReturnTime;
+  if (OutOfReachAt)
+    GoneAt = std::min(GoneAt, *OutOfReachAt + LatestUse);
   std::set<std::string_view> Listed;
   for (const upstream_entry &Entry : Entries)
     Listed.insert(Entry.Instance);
@@ -23,7 +32,7 @@
     if (Listed.count(Known.first) == 0)
       Missing.push_back(Known.first);
   for (const std::string &Instance : Missing)
-    onLapsed(Instance);
+    lapse(Instance, GoneAt);
   for (upstream_entry &Entry : Entries)
     onEntry(std::move(Entry));
 }
@@ -35,6 +44,10 @@
 }
 
 void upstream_registry::onLapsed(std::string_view Instance) {
+  lapse(Instance, Clock.now() + ReturnTime);
+}
+
+void upstream_registry::lapse(std::string_view Instance, time_point GoneAt) {
   auto Found = Records.find(Instance);
   if (Found == Records.end())
     return;
@@ -45,7 +58,7 @@
   }
   if (Found->second.GoneAt)
     return;
-  Found->second.GoneAt = Clock.now() + ReturnTime;
+  Found->second.GoneAt = GoneAt;
   Found->second.Entry.Lapsed = true;
 }
 
--- a/packages/core/masticproxy/src/Discovery/upstream_registry.h
+++ b/packages/core/masticproxy/src/Discovery/upstream_registry.h
@@ -22,8 +22,11 @@
 public:
   explicit upstream_registry(const clock &Clock) : Clock(Clock) {}
 
-  /// Takes in a complete list: what is not in it has lapsed.
-  void onListed(std::vector<upstream_entry> Entries);
+  /// Takes in a complete list: what is not in it has lapsed. With
+  /// \p OutOfReachAt, it may have lapsed long before, and counts as gone a
+  /// bounded time after the platform was out of reach.
+  void onListed(std::vector<upstream_entry> Entries,
+                std::optional<time_point> OutOfReachAt = std::nullopt);
 
   /// Takes in the newest registration of one upstream.
   void onEntry(upstream_entry Entry);
@@ -46,6 +49,8 @@
     std::optional<time_point> GoneAt;
   };
 
+  void lapse(std::string_view Instance, time_point GoneAt);
+
   const clock &Clock;
   std::map<std::string, record, std::less<>> Records;
 };
--- a/packages/core/tests/upstream_registry_test.cpp
+++ b/packages/core/tests/upstream_registry_test.cpp
@@ -164,3 +164,56 @@
   addresses Expected{"9:9", "2:2"};
   cr_assert(F.take(upstream_registered{entry("a", "9:9")}) == Expected);
 }
+
+// Guards against: an upstream that left while the platform was out of reach is
+// used for longer, as its lapse is dated to when the VM heard of it.
+Test(directory, counts_a_lapse_from_the_outage_in_which_it_came) {
+  constexpr milliseconds HeardAfter{2500};
+  directory_fixture F;
+  time_point Failed = F.Clock.now();
+  F.Clock.advance(HeardAfter);
+  cr_assert(not F.take(upstreams_listed{{}, Failed}).empty());
+  // The bounds hold again 4 s after the outage at the latest.
+  cr_assert(F.wait(milliseconds(4000) - HeardAfter - LookInterval).empty());
+}
+
+Test(directory, drops_at_once_what_lapsed_in_an_outage_long_ago) {
+  directory_fixture F;
+  time_point Failed = F.Clock.now();
+  F.Clock.advance(std::chrono::seconds(5));
+  cr_assert(F.take(upstreams_listed{{}, Failed}).empty());
+}
+
+// Guards against: after an outage a configuration is in force before the
+// upstreams that it names are known, so that its requests are refused.
+Test(directory, a_configuration_waits_for_registrations_that_are_outdated) {
+  directory_fixture F;
+  F.take(registrations_outdated{});
+  F.take(configuration_read{version(2)});
+  cr_assert(F.Directory.version() == 1U);
+  F.take(configuration_read{version(4)});
+  F.take(configuration_read{version(3)});
+  F.take(upstreams_listed{{entry("c", "3:3")}});
+  cr_assert(F.Directory.version() == 4U);
+  cr_assert(addressesOf(*F.Newest, "s") == addresses{"3:3"});
+  F.take(configuration_read{version(5)});
+  cr_assert(F.Directory.version() == 5U);
+}
+
+Test(directory, a_configuration_does_not_wait_for_long) {
+  directory_fixture F;
+  F.take(registrations_outdated{});
+  F.take(configuration_read{version(2)});
+  F.wait(milliseconds(1000));
+  cr_assert(F.Directory.version() == 2U);
+  cr_assert(F.Newest->findRoute("h", "/2/x") != nullptr);
+}
+
+Test(directory, the_first_configuration_waits_for_nothing_but_the_first_list) {
+  manual_clock Clock;
+  routing_directory Directory(Clock);
+  Directory.note(registrations_outdated{});
+  Directory.note(configuration_read{version(1)});
+  Directory.note(upstreams_listed{});
+  cr_assert(Directory.takeChanged() != nullptr);
+}
--- a/packages/daemon/masticproxy/src/Daemon/discovery_log.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_log.cpp
@@ -14,8 +14,9 @@
             " shards=" + std::to_string(Read.Services.size()));
   }
   void operator()(const upstreams_listed &Event) const {
-    logInfo("event=upstreams_listed count=" +
-            std::to_string(Event.Entries.size()));
+    logInfo(
+        "event=upstreams_listed count=" + std::to_string(Event.Entries.size()) +
+        " after_outage=" + (Event.OutOfReachAt ? "true" : "false"));
   }
   void operator()(const upstream_registered &Event) const {
     const upstream_entry &Entry = Event.Entry;
@@ -27,6 +28,9 @@
   void operator()(const upstream_lapsed &Event) const {
     logInfo("event=upstream_lapsed instance=" + Event.Instance);
   }
+  void operator()(const registrations_outdated &) const {
+    logWarning("event=registrations_outdated");
+  }
   // The engine's thread writes these lines.
   void operator()(const poison_notice &) const {}
   void operator()(const suspicion_ended &) const {}
--- a/packages/daemon/masticproxy/src/Daemon/discovery_plan.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_plan.h
@@ -1,9 +1,11 @@
 #ifndef MASTICPROXY_DAEMON_DISCOVERY_PLAN_H
 #define MASTICPROXY_DAEMON_DISCOVERY_PLAN_H
 
+#include "masticproxy/src/Discovery/discovery_event.h"
 #include "masticproxy/src/Discovery/read_freshness.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace masticproxy {
@@ -20,6 +22,8 @@
   read_freshness ListFreshness = read_freshness::Newest;
   /// Pause after a call that failed; it doubles with each further one.
   std::chrono::milliseconds FirstPause{100};
+  /// Told to control once the platform is out of reach, if anything.
+  std::optional<discovery_event> OnOutage = {};
 };
 
 } // namespace masticproxy
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -54,7 +54,8 @@
 
 void discovery_thread::waitFor(discovery_thread &NewLeader) {
   Leader = &NewLeader;
-  NewLeader.Follower = this;
+  Others.push_back(&NewLeader);
+  NewLeader.Others.push_back(this);
 }
 
 void discovery_thread::start() {
@@ -82,31 +83,39 @@
 
 void discovery_thread::step() {
   Counters.get("platform_calls_total", "kind=\"" + Plan.Kind + "\"").add();
+  time_point Called = Clock.now();
   feed_result Result = Feed.next(Plan.WatchWait);
-  if (auto *Failure = std::get_if<platform_unavailable>(&Result))
+  if (auto *Failure = std::get_if<platform_unavailable>(&Result)) {
+    FailedAt = Called;
     return onFailure(*Failure);
+  }
   onSuccess();
-  take(std::get<feed_news>(Result));
+  take(std::get<feed_news>(std::move(Result)));
+  FailedAt.reset();
 }
 
 void discovery_thread::onSuccess() {
   Backoff.onSuccess();
-  if (!Reachable.exchange(true))
-    logInfo("event=platform_answers kind=" + Plan.Kind);
-  if (Follower)
-    Follower->wakeUp();
+  if (Reachable.exchange(true))
+    return;
+  logInfo("event=platform_answers kind=" + Plan.Kind);
+  for (discovery_thread *Other : Others)
+    if (!Other->reachable())
+      Other->retryNow();
 }
 
-void discovery_thread::take(const feed_news &News) {
+void discovery_thread::take(feed_news News) {
   for (const std::string &Problem : News.Problems) {
     Counters.get("platform_objects_unreadable_total").add();
     logWarning("event=object_left_out object=\"" + Problem + "\"");
   }
   if (News.Events.empty())
     return;
-  for (const discovery_event &Event : News.Events)
-    while (!Control.push(Event) && !stopping())
-      std::this_thread::yield();
+  for (discovery_event &Event : News.Events) {
+    if (auto *Listed = std::get_if<upstreams_listed>(&Event))
+      Listed->OutOfReachAt = FailedAt;
+    tell(Event);
+  }
   if (knowsNoUpstream(News) && !StartedAt)
     StartedAt = Clock.now();
   // What a list brings is followed at once; the history may be short.
@@ -114,6 +123,11 @@
     pause(gatherTime());
 }
 
+void discovery_thread::tell(const discovery_event &Event) {
+  while (!Control.push(Event) && !stopping())
+    std::this_thread::yield();
+}
+
 duration discovery_thread::gatherTime() const {
   bool Starting = StartedAt && Clock.now() - *StartedAt < StartTime;
   return Starting ? StartGatherTime : GatherTime;
@@ -127,10 +141,12 @@
   bool First = Reachable.exchange(false);
   logWarning("event=platform_" + std::string(First ? "lost" : "still_lost") +
              " kind=" + Plan.Kind + " reason=\"" + Failure.Reason + "\"");
+  if (First && Plan.OnOutage)
+    tell(*Plan.OnOutage);
   // A call that failed alone is no outage, and is made again soon.
-  if (Leader && !Leader->reachable())
-    return awaitLeader();
-  pause(pauseAfterFailure(Backoff));
+  bool LeaderAsks = Leader && !Leader->reachable();
+  pauseBeforeRetry(LeaderAsks ? LongestFollowerPause
+                              : pauseAfterFailure(Backoff));
 }
 
 void discovery_thread::pause(duration Span) {
@@ -138,15 +154,17 @@
   Wake.wait_for(Lock, Span, [this] { return Stopping; });
 }
 
-void discovery_thread::awaitLeader() {
+void discovery_thread::pauseBeforeRetry(duration Span) {
   std::unique_lock<std::mutex> Lock(Mutex);
-  Wake.wait_for(Lock, LongestFollowerPause,
-                [this] { return Stopping || Leader->reachable(); });
+  Wake.wait_for(Lock, Span, [this] { return Stopping || RetryNow; });
+  RetryNow = false;
 }
 
-void discovery_thread::wakeUp() {
-  // Taken so that no wakeup falls between the follower's look and its wait.
-  { std::lock_guard<std::mutex> Lock(Mutex); }
+void discovery_thread::retryNow() {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    RetryNow = true;
+  }
   Wake.notify_all();
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace masticproxy {
 
@@ -28,7 +29,9 @@
   ~discovery_thread();
 
   /// Lets \p NewLeader find the end of an outage: while it reaches the platform
-  /// no more, this thread rarely asks. Before start() of both.
+  /// no more, this thread rarely asks. Whichever of the two is answered first
+  /// lets the other ask at once, so that what they follow becomes current
+  /// together. Before start() of both.
   void waitFor(discovery_thread &NewLeader);
 
   void start();
@@ -45,14 +48,15 @@
 private:
   void run();
   void step();
-  void take(const feed_news &News);
+  void take(feed_news News);
   void onFailure(const platform_unavailable &Failure);
   void onSuccess();
+  void tell(const discovery_event &Event);
   void pause(duration Span);
-  /// Waits until the leader reaches the platform, but not for long.
-  void awaitLeader();
-  /// Lets awaitLeader() look again.
-  void wakeUp();
+  /// Waits for \p Span, or until another thread reaches the platform.
+  void pauseBeforeRetry(duration Span);
+  /// Ends pauseBeforeRetry().
+  void retryNow();
   /// \returns how long changes are gathered.
   duration gatherTime() const;
   bool stopping();
@@ -69,10 +73,13 @@
   std::mutex Mutex;
   std::condition_variable Wake;
   bool Stopping = false;
+  bool RetryNow = false;
+  /// When the last call that failed was made, if none was answered since.
+  std::optional<time_point> FailedAt;
   /// Finds the end of an outage for this one, if not null.
   const discovery_thread *Leader = nullptr;
-  /// Waits for this one, if not null.
-  discovery_thread *Follower = nullptr;
+  /// Told when this one reaches the platform again.
+  std::vector<discovery_thread *> Others;
   std::thread Thread;
 };
 
