At the end of a planned stop, requests that still run get an answer

Report of other operators: requests taken late in the grace of a planned stop were passed on and cut with no answer, some of which may not be repeated.

Cause: after leave.finish_within the process ended whatever was running, and requests that came in the grace kept their whole deadline, which may be longer than the grace.

Change: SIGTERM tells the engine when the process leaves; a request that arrives later waits no longer than that. At the end the engine finishes each request as it stands (what suffices is answered, the rest is 502, 504 or, where nothing was sent, 503), and the daemon waits up to 0.3 s for the responses to be sent.

--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -92,7 +92,14 @@
 /// \brief The time returned by query_engine::nextWakeup() was reached.
 struct timer_fired {};
 
-/// \brief The process is leaving: no new request is admitted.
+/// \brief The process will leave at \p Time: what is still running then is
+/// answered as it stands, so requests that arrive from now on wait no longer.
+struct leave_planned {
+  time_point Time;
+};
+
+/// \brief The process is leaving: no new request is admitted, and those in
+/// progress are answered as they stand.
 struct leave_started {};
 
 /// \brief An attempt that was sent to a VM of another data centre ended without
@@ -128,10 +135,10 @@
 /// \brief Any event that the query engine processes.
 using engine_event =
     std::variant<query_arrived, attempt_answered, attempt_failed,
-                 catalogue_changed, timer_fired, leave_started, relay_failed,
-                 relay_arrived, relay_cancelled, relays_closed, claim_decision,
-                 poison_notice, suspicion_ended, drain_notice, caller_left,
-                 upstream_probed>;
+                 catalogue_changed, timer_fired, leave_planned, leave_started,
+                 relay_failed, relay_arrived, relay_cancelled, relays_closed,
+                 claim_decision, poison_notice, suspicion_ended, drain_notice,
+                 caller_left, upstream_probed>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -3,7 +3,10 @@
 #include "masticproxy/src/Query/query_catalogue.h"
 #include "masticproxy/src/Query/request_fingerprint.h"
 
+#include <algorithm>
+
 using namespace masticproxy;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -92,6 +95,10 @@
   Rules.Wait = std::min(Rules.Wait, Event.CallerWait.value_or(Rules.Wait));
   query_run NewRun(std::move(Event), Rules, Index->Current, Now + Rules.Wait);
   if (Route)
+  if (LeavesAt)
+    Rules.Wait =
+        std::clamp(std::chrono::duration_cast<milliseconds>(*LeavesAt - Now),
+                   milliseconds(0), Rules.Wait);
     NewRun.follow(std::move(Route));
   if (Rules.TargetLatency.count() > 0)
     NewRun.setAnswerBy(Now + Rules.TargetLatency - Limits.AnswerMargin);
@@ -187,7 +194,13 @@
   startDueHedges();
 }
 
-void query_engine::on(leave_started) { Leaving = true; }
+void query_engine::on(leave_started) {
+  Leaving = true;
+  // Their connections end with the process: whoever waits must hear what became
+  // of its request.
+  while (!Runs.empty())
+    finish(Runs.begin());
+}
 
 void query_engine::on(const caller_left &Event) {
   auto Run = Runs.find(Event.Ticket);
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -131,6 +131,7 @@
   void on(relay_failed Event);
   void on(const relay_arrived &Event);
   void on(const relay_cancelled &Event);
+  void on(const leave_planned &Event) { LeavesAt = Event.Time; }
   void on(relays_closed Event);
   void on(claim_decision Event);
   void on(const poison_notice &Event);
@@ -265,3 +266,5 @@
 } // namespace masticproxy
 
 #endif
+  /// When the process leaves, if that is planned.
+  std::optional<time_point> LeavesAt;
--- a/packages/core/tests/query_engine_test.cpp
+++ b/packages/core/tests/query_engine_test.cpp
@@ -169,6 +169,26 @@
   cr_assert(delivers<not_run>(F.arrive(1)));
 }
 
+// Guards against: at the end of a planned stop, requests that are still running
+// lose their connection without a response.
+Test(query_engine, answers_what_is_running_when_it_leaves) {
+  engine_fixture F(/*MayRepeat=*/false);
+  F.arrive(1);
+  cr_assert(delivers<outcome_unknown>(F.Engine.handle(leave_started{})));
+  cr_assert(F.Engine.running() == 0);
+}
+
+Test(query_engine, keeps_requests_no_longer_than_until_it_leaves) {
+  engine_fixture F(/*MayRepeat=*/false);
+  F.Engine.handle(leave_planned{F.Clock.now() + Wait / 4});
+  F.arrive(1);
+  F.Clock.advance(Wait / 4);
+  cr_assert(delivers<outcome_unknown>(F.Engine.handle(timer_fired{})));
+  auto Late = F.arrive(2);
+  cr_assert(attemptsIn(Late).empty() ||
+            attemptsIn(Late)[0].Deadline <= F.Clock.now());
+}
+
 Test(query_engine, restarts_when_the_new_snapshot_arrives_after_snapshot_gone) {
   engine_fixture F(/*MayRepeat=*/true);
   auto Attempts = attemptsIn(F.arrive(1));
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -76,6 +76,10 @@
   Loop.call([this] { handle(relays_closed{}); });
 }
 
+void engine_thread::planLeave(time_point Time) {
+  Loop.call([this, Time] { handle(leave_planned{Time}); });
+}
+
 void engine_thread::leave() {
   Loop.call([this] { handle(leave_started{}); });
 }
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -42,7 +42,10 @@
   /// Runs no new attempt for VMs of other data centres from here on.
   void closeRelays();
 
-  /// Admits no request from here on.
+  /// Lets requests that arrive from here on wait no longer than until \p Time.
+  void planLeave(time_point Time);
+
+  /// Admits no request from here on, and ends those under way.
   void leave();
 
   /// \returns whether this VM is cut off from other data centres' upstreams.
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -33,6 +33,9 @@
 
 constexpr std::chrono::milliseconds FinishPoll{10};
 
+/// Time for the responses to requests that were cut short to be sent.
+constexpr std::chrono::milliseconds LastResponses{300};
+
 struct control_system_config : caf::actor_system_config {
   control_system_config() {
     add_message_types<caf::id_block::masticproxy_control>();
@@ -176,6 +179,12 @@
   }
 
   void wakeControl() { caf::anon_send(Control, wake_atom_v); }
+  /// Waits until no connection of a caller is open, until \p Latest at most.
+  void awaitNoConnections(time_point Latest) {
+    while (Callers.connections() > 0 && Clock.now() < Latest)
+      std::this_thread::sleep_for(FinishPoll);
+  }
+
 
   node_settings Settings;
   os_clock Clock;
@@ -271,16 +280,20 @@
 void entry_daemon::leave() {
   logInfo("event=leaving");
   Parts->Callers.stopBeingReady();
+  time_point Now = Parts->Clock.now();
+  time_point Latest =
+      Now + Parts->Settings.BalancerLag + Parts->Settings.FinishWithin;
+  Parts->Engine.planLeave(Latest);
   caf::anon_send(Parts->Control, leave_atom_v);
   // Other VMs have a choice of VMs; refused now, they take another at once.
   Parts->Engine.closeRelays();
   // The balancer goes on sending requests until it has seen the ready check.
   std::this_thread::sleep_for(Parts->Settings.BalancerLag);
   Parts->Callers.stopAccepting();
-  time_point Latest = Parts->Clock.now() + Parts->Settings.FinishWithin;
   // A connection that is open now is owed the response to its last request.
-  while (Parts->Callers.connections() > 0 && Parts->Clock.now() < Latest)
-    std::this_thread::sleep_for(FinishPoll);
+  Parts->awaitNoConnections(Latest);
+  std::size_t Unfinished = Parts->Engine.running();
   Parts->Engine.leave();
-  logInfo("event=left unfinished=" + std::to_string(Parts->Engine.running()));
+  Parts->awaitNoConnections(Parts->Clock.now() + LastResponses);
+  logInfo("event=left unfinished=" + std::to_string(Unfinished));
 }
