A VM with few requests holds one connection to each upstream

Change: upstreams.rate_per_connection. A VM uses one of its connections for so many attempts a second at an upstream, and more only where all of several upstreams are in use and none of them reset a connection in the last 10 s. A shard with one upstream left gets one connection of each VM.

--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -63,6 +63,9 @@
      "Whether upstreams of other data centres are spoken to directly."},
     {"upstreams.connections", value_kind::Integer, "0", 0, 65535, "",
      "Connections to one upstream; 0: this VM's share of what it accepts."},
+    {"upstreams.rate_per_connection", value_kind::Number, "0.0", 0, 100000, "",
+     "Attempts a second at one upstream for which one of these connections is "
+     "enough; 0: all of them at any rate."},
     {"query.hedge_quantile", value_kind::Number, "0.97", 0.5, 0.999, "",
      "Share of attempts that are expected to end before they are hedged."},
     {"query.hedge_factor", value_kind::Number, "1.0", 0.1, 100, "",
--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -75,6 +75,7 @@
   S.HedgeQuantile = Values.number("query.hedge_quantile");
   S.HedgeFactor = Values.number("query.hedge_factor");
   S.SuspectSlow = Values.flag("query.suspect_slow");
+  S.RatePerConnection = Values.number("upstreams.rate_per_connection");
   S.RemoteCost = Values.number("query.remote_cost");
   S.TroubleCost = Values.number("query.trouble_cost");
   S.HedgePart = Values.number("query.hedge_part");
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -41,6 +41,7 @@
   bool AllDataCentres;
   /// 0: this VM's share.
   unsigned UpstreamConnections;
+  double RatePerConnection;
   double HedgeQuantile;
   double HedgeFactor;
   bool SuspectSlow;
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -83,6 +83,9 @@
   /// connection.
   bool ConnectionRefused = false;
 };
+  /// Whether the upstream holds as many connections as it takes, and reset this
+  /// one.
+  bool AtLimit = false;
 
 /// \brief A new configuration is in force.
 struct catalogue_changed {
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -30,7 +30,8 @@
   Upstreams.setDataCentre(this->Limits.DataCentre);
   Upstreams.setAllDataCentres(this->Limits.AllDataCentres);
   Upstreams.setSuspectSlow(this->Limits.SuspectSlow);
-  Upstreams.setOwnConnections(this->Limits.UpstreamConnections);
+  Upstreams.setOwnConnections(this->Limits.UpstreamConnections,
+                              this->Limits.RatePerConnection);
 }
 
 query_engine::~query_engine() = default;
@@ -147,6 +148,8 @@
   if (Event.Failure == attempt_failure::Refused)
     Reach.recordResponse(Record->Upstream);
   onFailure(*Record, Event);
+  if (Event.AtLimit)
+    Upstreams.atLimit(Record->Upstream, Clock.now());
 }
 
 void query_engine::onFailure(const attempt_record &Record,
@@ -299,8 +302,8 @@
                         const replica &Target, attempt_kind Kind) {
   attempt_id Attempt = NextAttempt++;
   Poison.started(Attempt, Run.fingerprint(), Target.process(),
-                 Run.snapshot().Shards[Shard].Id);
-  Upstreams.attemptStarted(Target.Address);
+                 Run.snapshot().Shards[Shard].Id, Target.Address);
+  Upstreams.attemptStarted(Target.Address, Clock.now());
   if (isRemote(Target))
     Reach.recordSent(Target.Address);
   Run.attemptStarted(Shard, Attempt, Target.Address);
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -54,6 +54,9 @@
   /// that the upstream accepts.
   unsigned UpstreamConnections = 0;
   /// Part of a profile's target latency that is reserved for sending the answer
+  /// Attempts a second at one upstream for which one of these connections is
+  /// enough; 0: all of them may be used at any rate.
+  double RatePerConnection = 0;
   /// to the caller.
   std::chrono::milliseconds AnswerMargin{0};
   /// Parameters of the policy.
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -12,13 +12,38 @@
 /// Maximum number of replaced identities that are kept.
 constexpr std::size_t MaxReplaced = 4096;
 
+/// How long an upstream that reset a connection is assumed to be full.
+constexpr std::chrono::milliseconds AtLimitMemory{10000};
+
 } // namespace
 
 const replica *upstream_table::choose(std::span<const replica> Replicas,
                                       std::span<const std::string> Tried,
                                       time_point Now) {
   std::vector<candidate> Set = candidates(Replicas, Tried, Now);
-  return std::visit([&](auto &P) { return P.choose(Set, Now); }, Policy);
+  auto Choose = [&](auto &P) { return P.choose(Set, Now); };
+  const replica *Chosen = std::visit(Choose, Policy);
+  if (!Chosen && raiseLimits(Set, Now))
+    Chosen = std::visit(Choose, Policy);
+  return Chosen;
+}
+
+bool upstream_table::raiseLimits(std::vector<candidate> &Set, time_point Now) {
+  // Many VMs turn to the only upstream left of a shard; what one of them held
+  // there besides its first connection, others would lack.
+  bool Several = OwnConnections > 0 && Set.size() > 1;
+  if (!Several)
+    return false;
+  bool Raised = false;
+  for (candidate &One : Set) {
+    unsigned Limit = std::min(OwnConnections, One.Replica->Connections);
+    bool Full = stateOf(*One.Replica, Now).AtLimitUntil > Now;
+    if (Full || One.MaxInFlight >= Limit)
+      continue;
+    One.MaxInFlight = Limit;
+    Raised = true;
+  }
+  return Raised;
 }
 
 const replica *upstream_table::chooseHedge(std::span<const replica> Replicas,
@@ -72,8 +97,10 @@
       });
 }
 
-void upstream_table::attemptStarted(std::string_view Upstream) {
-  ++stateOf(Upstream, time_point{}).InFlight;
+void upstream_table::attemptStarted(std::string_view Upstream, time_point Now) {
+  upstream_state &State = stateOf(Upstream, Now);
+  ++State.InFlight;
+  State.Rate.add(Now);
 }
 
 void upstream_table::attemptEnded(std::string_view Upstream) {
@@ -109,6 +136,10 @@
   }
 }
 
+void upstream_table::atLimit(std::string_view Upstream, time_point Now) {
+  stateOf(Upstream, Now).AtLimitUntil = Now + AtLimitMemory;
+}
+
 void upstream_table::misdirected(const std::string &Instance) {
   // An identity belongs to one process lifetime, so it is never used again.
   // Discarding all at once when the limit is reached costs at most one attempt
@@ -209,8 +240,21 @@
 unsigned upstream_table::connectionLimit(const replica &Replica,
                                          time_point Now) const {
   if (OwnConnections > 0)
-    return std::min(OwnConnections, Replica.Connections);
+    return std::min(ownConnections(Replica.Address, Now), Replica.Connections);
   if (!Grant)
     return Replica.Connections;
   return Grant->places(Replica.Address, Replica.Connections, Now);
 }
+
+unsigned upstream_table::ownConnections(std::string_view Upstream,
+                                        time_point Now) const {
+  if (AttemptsPerConnection == 0)
+    return OwnConnections;
+  auto Found = States.find(Upstream);
+  if (Found == States.end())
+    return 1;
+  double Needed = Found->second.Rate.perSecond(Now) / AttemptsPerConnection;
+  if (Needed >= OwnConnections)
+    return OwnConnections;
+  return 1 + static_cast<unsigned>(Needed);
+}
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -7,6 +7,7 @@
 #include "masticproxy/src/Drain/received_drain_notices.h"
 #include "masticproxy/src/Query/index_map.h"
 #include "masticproxy/src/Routing/attempt_facts.h"
+#include "masticproxy/src/Routing/attempt_rate.h"
 #include "masticproxy/src/Routing/candidate.h"
 #include "masticproxy/src/Routing/routing_policy.h"
 #include "masticproxy/src/Routing/upstream_health.h"
@@ -48,9 +49,13 @@
   void setSuspectSlow(bool Suspect) { SuspectSlow = Suspect; }
 
   /// Sets the maximum number of connections of this VM to each upstream; it
-  /// replaces the grant. 0 means that the grant applies.
-  void setOwnConnections(unsigned MaxConnections) {
+  /// replaces the grant. 0 means that the grant applies. With
+  /// \p RatePerConnection, one connection is used for so many attempts a
+  /// second, as other VMs may lack what this one holds.
+  void setOwnConnections(unsigned MaxConnections,
+                         double RatePerConnection = 0) {
     OwnConnections = MaxConnections;
+    AttemptsPerConnection = RatePerConnection;
   }
 
   /// Sets the grant, which limits the connections of this VM to each upstream.
@@ -94,7 +99,7 @@
                       time_point Latest) const;
 
   /// Records that an attempt at \p Upstream was opened.
-  void attemptStarted(std::string_view Upstream);
+  void attemptStarted(std::string_view Upstream, time_point Now);
 
   /// Records that an attempt at \p Upstream is no longer open.
   void attemptEnded(std::string_view Upstream);
@@ -106,6 +111,10 @@
   void failed(const attempt_facts &Attempt, attempt_failure Failure,
               time_point Now);
 
+  /// Records that an upstream reset a connection as it holds as many as it
+  /// takes.
+  void atLimit(std::string_view Upstream, time_point Now);
+
   /// Records that the address of \p Instance now belongs to another upstream;
   /// \p Instance gets no further attempts.
   void misdirected(const std::string &Instance);
@@ -133,6 +142,9 @@
     explicit upstream_state(time_point Now) : Health(Now) {}
 
     unsigned InFlight = 0;
+    attempt_rate Rate;
+    /// Until when it is assumed to hold as many connections as it takes.
+    time_point AtLimitUntil{};
     upstream_health Health;
     /// Identity of the upstream process that the health was observed of.
     std::string Instance;
@@ -145,10 +157,15 @@
   std::vector<candidate> candidates(std::span<const replica> Replicas,
                                     std::span<const std::string> Tried,
                                     time_point Now);
+  /// Lets each of several candidates have as many connections as this VM may
+  /// hold. \returns whether that changed any.
+  bool raiseLimits(std::vector<candidate> &Set, time_point Now);
   static void limitToOneInFlight(std::vector<candidate> &Set);
   upstream_state &stateOf(std::string_view Upstream, time_point Now);
   upstream_state &stateOf(const replica &Replica, time_point Now);
   unsigned connectionLimit(const replica &Replica, time_point Now) const;
+  /// \returns the part of OwnConnections that the rate of attempts needs.
+  unsigned ownConnections(std::string_view Upstream, time_point Now) const;
   unsigned slotShare(const replica &Replica, time_point Now) const;
   void observe(const attempt_facts &Attempt);
 
@@ -160,6 +177,7 @@
   bool AllDataCentres = false;
   bool SuspectSlow = false;
   unsigned OwnConnections = 0;
+  double AttemptsPerConnection = 0;
   std::shared_ptr<const connection_grant> Grant;
   std::map<std::string, upstream_state, std::less<>> States;
   /// Identities whose address now belongs to another upstream.
--- a/packages/core/tests/adaptive_policy_test.cpp
+++ b/packages/core/tests/adaptive_policy_test.cpp
@@ -86,7 +86,7 @@
 Test(adaptive_policy, sends_no_hedge_to_a_replica_without_free_slots) {
   table_fixture F;
   for (const char *Upstream : {"b", "b", "b", "c", "c", "c"})
-    F.Table.attemptStarted(Upstream);
+    F.Table.attemptStarted(Upstream, F.Clock.now());
   cr_assert_not(F.mayHedge());
   F.Table.attemptEnded("c");
   cr_assert(F.mayHedge());
@@ -105,7 +105,7 @@
   table_fixture F;
   F.Set.resize(1);
   for (int I = 0; I < 5; ++I)
-    F.Table.attemptStarted("a");
+    F.Table.attemptStarted("a", F.Clock.now());
   // A refusal with 5 attempts open lowers the limit to 4 (0.8 * 5), so that 4
   // are too many for a further one and 3 are not.
   F.fail("a", attempt_failure::Refused);
--- a/packages/core/tests/drain_notice_test.cpp
+++ b/packages/core/tests/drain_notice_test.cpp
@@ -130,7 +130,7 @@
   for (int I = 0; I < 2; ++I) {
     Chosen = Table.choose(Replicas, {}, Clock.now());
     cr_assert(Chosen);
-    Table.attemptStarted(Chosen->Address);
+    Table.attemptStarted(Chosen->Address, Clock.now());
   }
   cr_assert_not(Table.choose(Replicas, {}, Clock.now()));
   // The first upstream answers again; the second one refuses.
@@ -143,7 +143,7 @@
   Table.answered(factsOf(First, milliseconds(5)), Clock.now());
   Chosen = Table.choose(Replicas, {}, Clock.now());
   cr_assert(Chosen && Chosen->Address == First);
-  Table.attemptStarted(First);
+  Table.attemptStarted(First, Clock.now());
   Chosen = Table.choose(Replicas, {}, Clock.now());
   cr_assert(Chosen && Chosen->Address == First);
 }
--- a/packages/core/tests/drain_simulation.cpp
+++ b/packages/core/tests/drain_simulation.cpp
@@ -79,7 +79,7 @@
     if (Chosen->Address == Leaving && Known)
       ++LateAttempts;
   }
-  Vms[Vm].Table->attemptStarted(Chosen->Address);
+  Vms[Vm].Table->attemptStarted(Chosen->Address, Clock.now());
   Open.push_back({Vm, Chosen->Address, Clock.now(),
                   Clock.now() + milliseconds(1 + draw(30))});
 }
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -65,6 +65,7 @@
   Limits.ProbeFirst = Settings.ProbeFirst;
   Limits.AllDataCentres = Settings.AllDataCentres;
   Limits.UpstreamConnections = Settings.UpstreamConnections;
+  Limits.RatePerConnection = Settings.RatePerConnection;
   Limits.AnswerMargin = Settings.AnswerMargin;
   Limits.Tuning.HedgeQuantile = Settings.HedgeQuantile;
   Limits.SuspectSlow = Settings.SuspectSlow;
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -137,15 +137,15 @@
     Event.ConnectionRefused = Error.Refused;
     return report(Event);
   }
+    Event.AtLimit = Error.Closed;
   // One that responded to another attempt meanwhile is slow, not dead.
   const std::string &Upstream = Ended.Command.Upstream;
   bool Silent =
       Error.TimedOut && Connections[Upstream].LastResponse < Ended.Started;
   if (!Error.Closed && !Silent)
     return report(Event);
-  // An upstream at its limit of connections closes them too; one that died
-  // takes no connection. A silent network path is no sign of its death.
-  bool Closed = Error.Closed;
+  // An upstream at its limit of connections resets them too, and a network
+  // partition can swallow the check: only where nothing listens it died.
   checkUpstream(Loop.context(), Upstream,
                 [this, Event, Closed](connection_check Result) mutable {
                   Event.UpstreamDied =
