--- a/packages/core/masticproxy/src/Discovery/catalogue_builder.cpp
+++ b/packages/core/masticproxy/src/Discovery/catalogue_builder.cpp
@@ -4,12 +4,17 @@
 #include "masticproxy/src/Query/route_table.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 using namespace masticproxy;
 
 namespace {
 
+std::string processOf(const upstream_entry &Entry) {
+  return Entry.Instance + "/" + std::to_string(Entry.Started.count());
+}
+
 replica replicaOf(const upstream_entry &Entry, unsigned Connections) {
   replica Replica;
   Replica.Address = Entry.Address;
@@ -17,8 +22,7 @@
   Replica.Slots = Entry.Slots;
   Replica.Connections = Connections;
   Replica.Instance = Entry.Instance;
-  Replica.Process =
-      Entry.Instance + "/" + std::to_string(Entry.Started.count());
+  Replica.Process = processOf(Entry);
   return Replica;
 }
 
@@ -45,6 +49,15 @@
   return Registered;
 }
 
+std::set<std::string, std::less<>>
+leavingProcesses(std::span<const upstream_entry> Upstreams) {
+  std::set<std::string, std::less<>> Leaving;
+  for (const upstream_entry &Entry : Upstreams)
+    if (Entry.Draining)
+      Leaving.insert(processOf(Entry));
+  return Leaving;
+}
+
 index_map indexOf(const index_layout &Layout, std::uint64_t Version) {
   auto Snapshot = std::make_shared<index_snapshot>();
   Snapshot->Id = std::to_string(Version);
@@ -68,5 +81,6 @@
     Routes->add(Route);
   Catalogue->setRoutes(std::move(Routes));
   Catalogue->setReplicas(replicasByShard(Configuration, Upstreams));
+  Catalogue->setLeaving(leavingProcesses(Upstreams));
   return Catalogue;
 }
--- a/packages/core/masticproxy/src/Poison/lost_attempts.cpp
+++ b/packages/core/masticproxy/src/Poison/lost_attempts.cpp
@@ -11,27 +11,25 @@
 
 } // namespace
 
-void lost_attempts::add(lost_attempt Attempt) {
+void lost_attempts::add(upstream_attempt Attempt) {
   expire();
   if (Attempts.size() == MaxLostAttempts)
     Attempts.pop_front();
   Attempts.push_back(std::move(Attempt));
 }
 
-void lost_attempts::removeAt(std::string_view Upstream) {
-  std::erase_if(Attempts, [Upstream](const lost_attempt &Attempt) {
-    return Attempt.Upstream == Upstream;
+void lost_attempts::removeAt(std::string_view Process) {
+  std::erase_if(Attempts, [Process](const upstream_attempt &Attempt) {
+    return Attempt.Process == Process;
   });
 }
 
-std::vector<lost_attempt>
-lost_attempts::takeAt(const std::function<bool(std::string_view)> &Ended) {
+std::vector<upstream_attempt> lost_attempts::takeIf(
+    const std::function<bool(const upstream_attempt &)> &Condition) {
   expire();
-  std::vector<lost_attempt> Taken;
+  std::vector<upstream_attempt> Taken;
   auto Kept = std::stable_partition(Attempts.begin(), Attempts.end(),
-                                    [&Ended](const lost_attempt &Attempt) {
-                                      return !Ended(Attempt.Upstream);
-                                    });
+                                    std::not_fn(std::cref(Condition)));
   std::move(Kept, Attempts.end(), std::back_inserter(Taken));
   Attempts.erase(Kept, Attempts.end());
   return Taken;
@@ -40,14 +38,14 @@
 bool lost_attempts::hasSuspect(query_fingerprint Fingerprint) const {
   time_point Oldest = Clock.now() - KeepFor;
   return std::any_of(Attempts.begin(), Attempts.end(),
-                     [=](const lost_attempt &Attempt) {
+                     [=](const upstream_attempt &Attempt) {
                        return Attempt.Fingerprint == Fingerprint &&
-                              Attempt.Suspect && Attempt.Lost > Oldest;
+                              Attempt.Suspect && Attempt.Ended > Oldest;
                      });
 }
 
 void lost_attempts::expire() {
   time_point Oldest = Clock.now() - KeepFor;
-  while (!Attempts.empty() && Attempts.front().Lost <= Oldest)
+  while (!Attempts.empty() && Attempts.front().Ended <= Oldest)
     Attempts.pop_front();
 }
--- a/packages/core/masticproxy/src/Poison/lost_attempts.h
+++ b/packages/core/masticproxy/src/Poison/lost_attempts.h
@@ -2,44 +2,32 @@
 #define MASTICPROXY_POISON_LOST_ATTEMPTS_H
 
 #include "masticproxy/src/Base/clock.h"
-#include "masticproxy/src/Poison/query_fingerprint.h"
+#include "masticproxy/src/Poison/upstream_attempt.h"
 
 #include <deque>
 #include <functional>
-#include <string>
 #include <string_view>
 #include <vector>
 
 namespace masticproxy {
 
-/// \brief An attempt that ended without a response while it is not known
-/// whether its upstream still lives.
-struct lost_attempt {
-  query_fingerprint Fingerprint = 0;
-  /// Identity of the upstream's process.
-  std::string Upstream;
-  std::string Shard;
-  time_point Started;
-  time_point Lost;
-  /// Whether the query was a suspect when the attempt started.
-  bool Suspect = false;
-};
-
-/// \brief The lost attempts of one VM, bounded in number and time.
+/// \brief The lost attempts of one VM, bounded in number and time: those that
+/// ended without a response while it is not known whether their upstream still
+/// lives.
 class lost_attempts {
 public:
   lost_attempts(const clock &Clock, duration KeepFor)
       : Clock(Clock), KeepFor(KeepFor) {}
 
   /// Adds an attempt; the oldest one is dropped if there are too many.
-  void add(lost_attempt Attempt);
+  void add(upstream_attempt Attempt);
 
-  /// Removes the attempts at \p Upstream, which responded and so still lives.
-  void removeAt(std::string_view Upstream);
+  /// Removes the attempts at \p Process, which responded and so still lives.
+  void removeAt(std::string_view Process);
 
-  /// Removes the attempts at upstreams that \p Ended holds for. \returns them.
-  std::vector<lost_attempt>
-  takeAt(const std::function<bool(std::string_view)> &Ended);
+  /// Removes the attempts that \p Condition holds for. \returns them.
+  std::vector<upstream_attempt>
+  takeIf(const std::function<bool(const upstream_attempt &)> &Condition);
 
   /// \returns whether an attempt of the query that started as a suspect is
   /// lost.
@@ -53,7 +41,7 @@
   const clock &Clock;
   duration KeepFor;
   /// In the order in which they were lost.
-  std::deque<lost_attempt> Attempts;
+  std::deque<upstream_attempt> Attempts;
 };
 
 } // namespace masticproxy
--- a/packages/core/masticproxy/src/Poison/notice_publisher.cpp
+++ b/packages/core/masticproxy/src/Poison/notice_publisher.cpp
@@ -9,9 +9,6 @@
 /// Queries on record; a further one is not published.
 constexpr std::size_t MaxRecords = 1024;
 
-/// Rounds of deaths that condemn a query.
-constexpr unsigned CondemningRounds = 2;
-
 query_fingerprint queryOf(const notice_write &Write) {
   if (auto *Published = std::get_if<publish_notice>(&Write))
     return Published->Notice.Fingerprint;
@@ -27,14 +24,13 @@
   time_point Now = Clock.now();
   auto [Found, Added] = Records.try_emplace(Notice.Fingerprint);
   record &Record = Found->second;
-  Record.Notice = Notice;
-  Record.LastUpstreamDeath = Now - Notice.Age;
+  Record.Shard = Notice.Shard;
+  Record.Deaths = death_tally::of(Notice, Now);
   Record.Ended = false;
-  bool Urgent = Notice.Rounds >= CondemningRounds;
-  if (Urgent)
+  if (Record.condemns())
     Record.DueAt = Now;
   else if (Added)
-    Record.DueAt = Now + Timing.ShareAfter;
+    Record.DueAt = Record.Deaths.LastDeath + Timing.ShareAfter;
 }
 
 void notice_publisher::onEnded(const suspicion_ended &Ended) {
@@ -49,21 +45,24 @@
 
 std::optional<notice_write> notice_publisher::next() {
   dropForgotten();
-  const record *Chosen = nullptr;
-  for (const auto &[Fingerprint, Record] : Records) {
-    bool Better = isDue(Record) && (!Chosen || Record.Notice.halfRounds() >
-                                                   Chosen->Notice.halfRounds());
+  record_map::value_type *Chosen = nullptr;
+  for (record_map::value_type &Entry : Records) {
+    bool Better = isDue(Entry.second) &&
+                  (!Chosen || Entry.second.Deaths.HalfRounds >
+                                  Chosen->second.Deaths.HalfRounds);
     if (Better)
-      Chosen = &Record;
+      Chosen = &Entry;
   }
   if (!Chosen)
     return std::nullopt;
-  if (Chosen->Ended || isForgotten(*Chosen))
-    return withdraw_notice{Chosen->Notice.Fingerprint, Chosen->Version};
-  publish_notice Write{Chosen->Notice, Chosen->Version};
-  Write.Notice.Age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Clock.now() - Chosen->LastUpstreamDeath);
-  return Write;
+  const auto &[Fingerprint, Record] = *Chosen;
+  if (Record.Ended || isForgotten(Record))
+    return withdraw_notice{Fingerprint, Record.Version};
+  if (!Record.condemns() && !SuspectBudget.take())
+    return std::nullopt;
+  return publish_notice{
+      Record.Deaths.toNotice(Fingerprint, Record.Shard, Clock.now()),
+      Record.Version};
 }
 
 void notice_publisher::written(const notice_write &Write,
@@ -81,33 +80,38 @@
 }
 
 void notice_publisher::conflicted(const notice_write &Write,
-                                  std::uint64_t HalfRounds,
+                                  const std::optional<poison_notice> &Current,
                                   std::uint64_t Version) {
   auto Found = Records.find(queryOf(Write));
   if (Found == Records.end())
     return;
   // What another VM wrote since is that VM's to withdraw.
-  bool Withdrawn = std::holds_alternative<withdraw_notice>(Write);
-  if (Withdrawn) {
+  if (std::holds_alternative<withdraw_notice>(Write)) {
     Records.erase(Found);
     return;
   }
   record &Record = Found->second;
-  bool AlreadyKnown = HalfRounds >= Record.Notice.halfRounds();
-  Record.PublishedHalfRounds = AlreadyKnown ? Record.Notice.halfRounds() : 0;
+  std::uint64_t Stored = Current ? Current->halfRounds() : 0;
+  if (Current)
+    Record.Deaths.merge(death_tally::of(*Current, Clock.now()));
+  bool AlreadyKnown = Stored >= Record.Deaths.HalfRounds;
+  Record.PublishedHalfRounds = Stored;
   Record.Version = AlreadyKnown ? 0 : Version;
+  if (Record.condemns())
+    Record.DueAt = Clock.now();
 }
 
 std::optional<time_point> notice_publisher::nextWakeup() const {
   std::optional<time_point> Next;
   for (const auto &[Fingerprint, Record] : Records) {
-    bool Unpublished = Record.Notice.halfRounds() > Record.PublishedHalfRounds;
-    time_point At =
-        Record.LastUpstreamDeath + Timing.forgottenAfter(Record.Notice.Rounds);
+    time_point At = forgottenAt(Record);
     if (Record.Ended)
       At = Clock.now();
-    else if (Unpublished)
+    else if (Record.isUnpublished() && Record.condemns())
       At = std::min(At, Record.DueAt);
+    else if (Record.isUnpublished())
+      At = std::min(
+          At, std::max(Record.DueAt, Clock.now() + SuspectBudget.untilNext()));
     Next = std::min(Next.value_or(At), At);
   }
   return Next;
@@ -116,13 +120,16 @@
 bool notice_publisher::isDue(const record &Record) const {
   if (Record.Ended || isForgotten(Record))
     return Record.Version != 0;
-  return Record.Notice.halfRounds() > Record.PublishedHalfRounds &&
-         Record.DueAt <= Clock.now();
+  return Record.isUnpublished() && Record.DueAt <= Clock.now();
+}
+
+time_point notice_publisher::forgottenAt(const record &Record) const {
+  return Record.Deaths.LastDeath +
+         Timing.forgottenAfter(Record.Deaths.rounds());
 }
 
 bool notice_publisher::isForgotten(const record &Record) const {
-  return Clock.now() - Record.LastUpstreamDeath >=
-         Timing.forgottenAfter(Record.Notice.Rounds);
+  return Clock.now() >= forgottenAt(Record);
 }
 
 void notice_publisher::dropForgotten() {
--- a/packages/core/masticproxy/src/Poison/poison_guard.cpp
+++ b/packages/core/masticproxy/src/Poison/poison_guard.cpp
@@ -12,11 +12,15 @@
 } // namespace
 
 bool poison_guard::condemned(query_fingerprint Fingerprint) const {
-  poison_state State = Register.stateOf(Fingerprint);
+  return Register.stateOf(Fingerprint) == poison_state::Condemned ||
+         isHeldBack(Fingerprint);
+}
+
+bool poison_guard::isHeldBack(query_fingerprint Fingerprint) const {
   // What became of the lost attempt decides whether the query is condemned.
   // Until that is known, each further attempt could crash one more upstream.
-  return State == poison_state::Condemned ||
-         (State == poison_state::Suspect && Lost.hasSuspect(Fingerprint));
+  return Register.stateOf(Fingerprint) == poison_state::Suspect &&
+         Lost.hasSuspect(Fingerprint);
 }
 
 bool poison_guard::mayStart(query_fingerprint Fingerprint,
@@ -35,21 +39,36 @@
 }
 
 void poison_guard::started(std::uint64_t Attempt, query_fingerprint Fingerprint,
-                           std::string_view Upstream, std::string_view Shard) {
-  bool Suspect = Register.stateOf(Fingerprint) == poison_state::Suspect;
-  Attempts.emplace(Attempt,
-                   attempt_record{Fingerprint, std::string(Upstream),
-                                  std::string(Shard), Clock.now(), Suspect});
+                           std::string_view Process, std::string_view Shard,
+                           std::string_view Address) {
+  upstream_attempt Record;
+  Record.Fingerprint = Fingerprint;
+  Record.Process = Process;
+  Record.Address = Address;
+  Record.Shard = Shard;
+  Record.Started = Clock.now();
+  Record.Suspect = Register.stateOf(Fingerprint) == poison_state::Suspect;
   ++InFlight[Fingerprint];
-  if (Suspect)
-    ++SuspectsAt[std::string(Upstream)];
+  if (Record.Suspect)
+    ++SuspectsAt[Record.Process];
+  Attempts.emplace(Attempt, std::move(Record));
+}
+
+std::string_view poison_guard::addressOf(std::uint64_t Attempt) const {
+  auto Found = Attempts.find(Attempt);
+  return Found == Attempts.end() ? std::string_view() : Found->second.Address;
+}
+
+std::string_view poison_guard::processOf(std::uint64_t Attempt) const {
+  auto Found = Attempts.find(Attempt);
+  return Found == Attempts.end() ? std::string_view() : Found->second.Process;
 }
 
 std::optional<suspicion_ended> poison_guard::answered(std::uint64_t Attempt) {
-  std::optional<attempt_record> Record = removeAttempt(Attempt);
+  std::optional<upstream_attempt> Record = removeAttempt(Attempt);
   if (!Record)
     return std::nullopt;
-  Lost.removeAt(Record->Upstream);
+  Lost.removeAt(Record->Process);
   if (ProbeFirst)
     recordProven(Record->Fingerprint);
   if (!Register.shardAnswered(Record->Fingerprint, Record->Shard))
@@ -58,71 +77,87 @@
 }
 
 void poison_guard::refused(std::uint64_t Attempt) {
-  if (std::optional<attempt_record> Record = removeAttempt(Attempt))
-    Lost.removeAt(Record->Upstream);
+  if (std::optional<upstream_attempt> Record = removeAttempt(Attempt))
+    Lost.removeAt(Record->Process);
 }
 
 std::optional<poison_notice> poison_guard::upstreamDied(std::uint64_t Attempt) {
-  std::optional<attempt_record> Record = removeAttempt(Attempt);
+  std::optional<upstream_attempt> Record = removeAttempt(Attempt);
   if (!Record || Record->DeathRecorded)
     return std::nullopt;
   return recordDeath(*Record);
 }
 
 std::optional<query_fingerprint> poison_guard::lost(std::uint64_t Attempt) {
-  std::optional<attempt_record> Record = removeAttempt(Attempt);
+  std::optional<upstream_attempt> Record = removeAttempt(Attempt);
   if (!Record || Record->DeathRecorded)
     return std::nullopt;
-  Lost.add({Record->Fingerprint, std::move(Record->Upstream),
-            std::move(Record->Shard), Record->Started, Clock.now(),
-            Record->Suspect});
-  if (!condemned(Record->Fingerprint))
+  query_fingerprint Fingerprint = Record->Fingerprint;
+  Lost.add(std::move(*Record));
+  if (!condemned(Fingerprint))
     return std::nullopt;
-  return Record->Fingerprint;
+  return Fingerprint;
 }
 
 std::vector<poison_notice>
 poison_guard::refusedConnection(std::uint64_t Attempt) {
-  std::optional<attempt_record> Unsent = removeAttempt(Attempt);
+  std::optional<upstream_attempt> Unsent = removeAttempt(Attempt);
   if (!Unsent)
     return {};
-  std::vector<poison_notice> Notices = upstreamsGone(
-      [&](std::string_view Upstream) { return Upstream == Unsent->Upstream; });
-  // Their connections may stay open and silent until their deadline.
+  std::vector<poison_notice> Notices =
+      upstreamsDied([&](const upstream_attempt &Other) {
+        return Other.Process == Unsent->Process;
+      });
+  // Their connections may stay open and silent until their deadline. Those that
+  // started later may be about to be refused as well.
   for (auto &[Id, Record] : Attempts) {
-    if (Record.Upstream != Unsent->Upstream || Record.DeathRecorded)
+    bool Ran =
+        Record.Process == Unsent->Process && Record.Started < Unsent->Started;
+    if (!Ran || Record.DeathRecorded)
       continue;
     Record.DeathRecorded = true;
+    Record.Ended = Clock.now();
     if (std::optional<poison_notice> Notice = recordDeath(Record))
       Notices.push_back(std::move(*Notice));
   }
   return Notices;
 }
 
-std::vector<poison_notice> poison_guard::upstreamsGone(
-    const std::function<bool(std::string_view)> &Ended) {
+std::vector<poison_notice> poison_guard::upstreamsDied(
+    const std::function<bool(const upstream_attempt &)> &Died) {
+  return recordDeaths(Lost.takeIf(Died));
+}
+
+void poison_guard::upstreamsLeft(
+    const std::function<bool(const upstream_attempt &)> &Left) {
+  Lost.takeIf(Left);
+}
+
+std::vector<poison_notice>
+poison_guard::recordDeaths(const std::vector<upstream_attempt> &Ended) {
   std::vector<poison_notice> Notices;
-  for (lost_attempt &Attempt : Lost.takeAt(Ended)) {
-    std::optional<poison_notice> Notice = recordDeath(
-        {Attempt.Fingerprint, std::move(Attempt.Upstream),
-         std::move(Attempt.Shard), Attempt.Started, Attempt.Suspect});
-    if (Notice)
+  for (const upstream_attempt &Attempt : Ended)
+    if (std::optional<poison_notice> Notice = recordDeath(Attempt))
       Notices.push_back(std::move(*Notice));
-  }
   return Notices;
 }
 
 std::optional<poison_notice>
-poison_guard::recordDeath(const attempt_record &Record) {
-  Deaths.add(Record.Fingerprint, Record.Upstream);
+poison_guard::recordDeath(const upstream_attempt &Attempt) {
+  Deaths.add(Attempt.Fingerprint, Attempt.Process);
   // A suspect in flight at the same upstream is the likelier cause, so the
   // death is not counted against this query.
   bool SuspectInFlight =
-      !Record.Suspect && SuspectsAt.count(Record.Upstream) > 0;
+      !Attempt.Suspect && SuspectsAt.count(Attempt.Process) > 0;
   if (SuspectInFlight)
     return std::nullopt;
-  return Register.upstreamDied(Record.Fingerprint, Record.Shard, Record.Started,
-                               Deaths.haveOtherCause(Record.Fingerprint));
+  return Register.upstreamDied(Attempt, evidenceAgainst(Attempt.Fingerprint));
+}
+
+death_evidence
+poison_guard::evidenceAgainst(query_fingerprint Fingerprint) const {
+  return Deaths.haveOtherCause(Fingerprint) ? death_evidence::CommonCause
+                                            : Evidence;
 }
 
 bool poison_guard::isProven(query_fingerprint Fingerprint) const {
@@ -139,16 +174,17 @@
   ProvenOrder.pop_front();
 }
 
-std::optional<poison_guard::attempt_record>
+std::optional<upstream_attempt>
 poison_guard::removeAttempt(std::uint64_t Attempt) {
   auto Found = Attempts.find(Attempt);
   if (Found == Attempts.end())
     return std::nullopt;
-  attempt_record Record = std::move(Found->second);
+  upstream_attempt Record = std::move(Found->second);
   Attempts.erase(Found);
   if (--InFlight[Record.Fingerprint] == 0)
     InFlight.erase(Record.Fingerprint);
-  if (Record.Suspect && --SuspectsAt[Record.Upstream] == 0)
-    SuspectsAt.erase(Record.Upstream);
+  if (Record.Suspect && --SuspectsAt[Record.Process] == 0)
+    SuspectsAt.erase(Record.Process);
+  Record.Ended = Clock.now();
   return Record;
 }
--- a/packages/core/masticproxy/src/Poison/poison_guard.h
+++ b/packages/core/masticproxy/src/Poison/poison_guard.h
@@ -2,10 +2,12 @@
 #define MASTICPROXY_POISON_POISON_GUARD_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Poison/death_evidence.h"
 #include "masticproxy/src/Poison/lost_attempts.h"
 #include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Poison/poison_register.h"
 #include "masticproxy/src/Poison/recent_deaths.h"
+#include "masticproxy/src/Poison/upstream_attempt.h"
 
 #include <cstdint>
 #include <deque>
@@ -34,6 +36,9 @@
   /// suspect of which an attempt is lost.
   bool condemned(query_fingerprint Fingerprint) const;
 
+  /// \returns whether that is only because an attempt of the suspect is lost.
+  bool isHeldBack(query_fingerprint Fingerprint) const;
+
   /// \returns the shard for which the query was in flight when an upstream last
   /// died; "" if no death is on record.
   std::string_view shardOfDeath(query_fingerprint Fingerprint) const {
@@ -43,10 +48,17 @@
   /// \returns whether an attempt at \p Upstream may start now.
   bool mayStart(query_fingerprint Fingerprint, std::string_view Upstream) const;
 
-  /// Records that \p Attempt of the query was sent to \p Upstream, the
-  /// identity of its process, for \p Shard.
+  /// Records that \p Attempt of the query was sent to \p Process at
+  /// \p Address, for \p Shard.
   void started(std::uint64_t Attempt, query_fingerprint Fingerprint,
-               std::string_view Upstream, std::string_view Shard);
+               std::string_view Process, std::string_view Shard,
+               std::string_view Address = {});
+
+  /// \returns the address of the upstream of an attempt; "" if it is unknown.
+  std::string_view addressOf(std::uint64_t Attempt) const;
+
+  /// \returns the process of the upstream of an attempt; "" if it is unknown.
+  std::string_view processOf(std::uint64_t Attempt) const;
 
   /// Records that an attempt was answered with a result. Unknown attempts are
   /// ignored, here and below. \returns the suspicion that this ends, if any.
@@ -69,13 +81,32 @@
   /// to be sent to the other VMs.
   std::vector<poison_notice> refusedConnection(std::uint64_t Attempt);
 
-  /// Records that upstreams that \p Ended holds for are gone: they may have
-  /// died while they ran the attempts that are lost. \returns the notices to be
-  /// sent to the other VMs.
+  /// Records that the upstreams of the lost attempts that \p Died holds for
+  /// have died. \returns the notices to be sent to the other VMs.
   std::vector<poison_notice>
-  upstreamsGone(const std::function<bool(std::string_view)> &Ended);
+  upstreamsDied(const std::function<bool(const upstream_attempt &)> &Died);
 
-  /// \returns whether upstreamsGone() could have any effect.
+  /// Records that the upstreams of the lost attempts that \p Left holds for
+  /// ended as planned.
+  void upstreamsLeft(const std::function<bool(const upstream_attempt &)> &Left);
+
+  /// Sets what deaths that are recorded from now on are evidence of, unless
+  /// others at the same time show a common cause.
+  void setEvidence(death_evidence NewEvidence) { Evidence = NewEvidence; }
+
+  /// Records that the deaths that were recorded unchecked have no common cause.
+  /// \returns the notices to be sent to the other VMs.
+  std::vector<poison_notice> confirmDeaths() {
+    return Register.confirmDeaths();
+  }
+
+  /// Records that the deaths since \p Time have a common cause. \returns the
+  /// suspicions that this ends.
+  std::vector<suspicion_ended> deathsHadCommonCause(time_point Time) {
+    return Register.deathsHadCommonCause(Time);
+  }
+
+  /// \returns whether upstreamsDied() could have any effect.
   bool hasLost() const { return !Lost.empty(); }
 
   /// Records that an attempt ended in any other way: it did not crash its
@@ -94,31 +125,24 @@
   void onEnded(const suspicion_ended &Ended) { Register.onEnded(Ended); }
 
 private:
-  struct attempt_record {
-    query_fingerprint Fingerprint = 0;
-    std::string Upstream;
-    std::string Shard;
-    time_point Started;
-    /// Whether the query was a suspect when the attempt started; a suspect has
-    /// only one attempt in flight.
-    bool Suspect = false;
-    /// Whether the death of its upstream is recorded already.
-    bool DeathRecorded = false;
-  };
-
   bool isProven(query_fingerprint Fingerprint) const;
   void recordProven(query_fingerprint Fingerprint);
-  std::optional<attempt_record> removeAttempt(std::uint64_t Attempt);
-  std::optional<poison_notice> recordDeath(const attempt_record &Record);
+  /// \returns the attempt, which ends now.
+  std::optional<upstream_attempt> removeAttempt(std::uint64_t Attempt);
+  std::optional<poison_notice> recordDeath(const upstream_attempt &Attempt);
+  std::vector<poison_notice>
+  recordDeaths(const std::vector<upstream_attempt> &Ended);
+  death_evidence evidenceAgainst(query_fingerprint Fingerprint) const;
 
   const clock &Clock;
   bool ProbeFirst;
   poison_register Register;
   recent_deaths Deaths;
   lost_attempts Lost;
-  std::unordered_map<std::uint64_t, attempt_record> Attempts;
+  std::unordered_map<std::uint64_t, upstream_attempt> Attempts;
   std::unordered_map<query_fingerprint, unsigned> InFlight;
-  /// Number of attempts of suspects in flight, by upstream.
+  death_evidence Evidence = death_evidence::Query;
+  /// Number of attempts of suspects in flight, by process.
   std::map<std::string, unsigned, std::less<>> SuspectsAt;
   /// Queries that a shard has answered, and the order in which they are
   /// evicted.
--- a/packages/core/masticproxy/src/Poison/poison_notice.h
+++ b/packages/core/masticproxy/src/Poison/poison_notice.h
@@ -6,15 +6,16 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace masticproxy {
 
-/// \brief Sent by one VM to the others of its data centre: a query was in
-/// flight when upstreams died.
+/// \brief Sent by one VM to the others: a query was in flight when upstreams
+/// died.
 struct poison_notice {
   query_fingerprint Fingerprint = 0;
   /// Number of rounds of deaths. A new round begins with the death of an
-  /// attempt that started after the deaths of the previous round were known.
+  /// attempt that started after the deaths of the previous round.
   std::uint32_t Rounds = 0;
   /// Shard whose attempt was in flight at the last death.
   std::string Shard;
@@ -23,13 +24,11 @@
   /// Whether one more death counted for half a round, as it may have another
   /// cause.
   bool HalfRound = false;
-  /// Whether the death is only presumed, as the upstream left the list of
-  /// registered ones; not sent to other VMs.
-  bool Presumed = false;
-
-  /// \returns whether other VMs are told. Upstreams leave the list for many
-  /// reasons, and each would make many innocent queries suspect everywhere.
-  bool isShared() const { return !Presumed || Rounds > 1; }
+  /// Time from the start of the earliest attempt that ended in a death to the
+  /// last death.
+  std::chrono::milliseconds Span{0};
+  /// The processes that died, the newest few; empty if they are not known.
+  std::vector<std::string> Processes = {};
 
   /// \returns the number of half rounds, which orders the notices of a query.
   std::uint64_t halfRounds() const {
--- a/packages/core/masticproxy/src/Poison/poison_register.h
+++ b/packages/core/masticproxy/src/Poison/poison_register.h
@@ -2,15 +2,19 @@
 #define MASTICPROXY_POISON_POISON_REGISTER_H
 
 #include "masticproxy/src/Base/clock.h"
+#include "masticproxy/src/Poison/death_evidence.h"
+#include "masticproxy/src/Poison/death_tally.h"
 #include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Poison/poison_timing.h"
 #include "masticproxy/src/Poison/suspicion_ended.h"
+#include "masticproxy/src/Poison/upstream_attempt.h"
 
 #include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace masticproxy {
 
@@ -43,14 +47,20 @@
   /// an upstream that ran it; "" if no death is on record.
   std::string_view shardOf(query_fingerprint Fingerprint) const;
 
-  /// Records that an upstream died while it ran the query's attempt that
-  /// started at \p Started. With \p OtherCause, other upstreams died too, and
-  /// the death counts for half. \returns the notice to be sent to the other
-  /// VMs, or nothing if the death belongs to a round already recorded.
-  std::optional<poison_notice> upstreamDied(query_fingerprint Fingerprint,
-                                            std::string_view Shard,
-                                            time_point Started,
-                                            bool OtherCause = false);
+  /// Records that an upstream died while it ran \p Attempt, which has ended. A
+  /// death counts for half a round unless \p Evidence is of the query alone.
+  /// \returns the notice to be sent to the other VMs, or nothing if the death
+  /// belongs to a round already recorded, or if the query is no suspect.
+  std::optional<poison_notice> upstreamDied(const upstream_attempt &Attempt,
+                                            death_evidence Evidence);
+
+  /// Records that the deaths that were recorded unchecked have no common cause:
+  /// they count whole. \returns the notices to be sent to the other VMs.
+  std::vector<poison_notice> confirmDeaths();
+
+  /// Records that the deaths since \p Time have a common cause. \returns the
+  /// suspicions that this ends: those of queries without an earlier death.
+  std::vector<suspicion_ended> deathsHadCommonCause(time_point Time);
 
   /// Records that \p Shard answered the query. If the last death was at that
   /// shard, the query did not cause it and its record is removed. \returns
@@ -72,15 +82,20 @@
 
 private:
   struct record {
-    unsigned rounds() const { return static_cast<unsigned>(HalfRounds / 2); }
-
-    std::uint64_t HalfRounds = 0;
+    death_tally Deaths;
     std::string Shard;
-    time_point LastUpstreamDeath;
+    /// When the first of the deaths became known.
+    time_point Since;
+    /// Whether the last death counts for half as it is unchecked.
+    bool Unchecked = false;
+    /// Whether all deaths may have a common cause: the query is no suspect
+    /// before they condemn it.
+    bool Doubtful = false;
   };
   using record_map = std::unordered_map<query_fingerprint, record>;
 
   record &recordOf(query_fingerprint Fingerprint);
+  bool isForgotten(const record &Record) const;
   void evictRecords();
 
   const clock &Clock;
--- a/packages/core/masticproxy/src/Poison/poison_timing.cpp
+++ b/packages/core/masticproxy/src/Poison/poison_timing.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Rounds of deaths after which a query is condemned.
-constexpr unsigned RoundsToCondemn = 2;
-
 /// Rounds after which the time no longer grows: by then it is longer than a
 /// day.
 constexpr unsigned LastGrowth = 6;
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -77,15 +77,16 @@
   attempt_id Attempt = 0;
   attempt_failure Failure = attempt_failure::Unknown;
   /// Whether the upstream died while it ran the attempt: it closed the
-  /// connection, or did not respond in time, and accepts no other connection.
+  /// connection, or did not respond in time, and nothing listens there any
+  /// more.
   bool UpstreamDied = false;
   /// Whether the attempt was not sent because the upstream refused the
   /// connection.
   bool ConnectionRefused = false;
-};
   /// Whether the upstream holds as many connections as it takes, and reset this
   /// one.
   bool AtLimit = false;
+};
 
 /// \brief A new configuration is in force.
 struct catalogue_changed {
--- a/packages/core/masticproxy/src/Query/query_catalogue.cpp
+++ b/packages/core/masticproxy/src/Query/query_catalogue.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Query/route_table.h"
 
+#include <algorithm>
 #include <utility>
 
 using namespace masticproxy;
@@ -65,14 +66,52 @@
   return Addresses;
 }
 
-std::optional<std::set<std::string_view>> query_catalogue::processes() const {
+bool query_catalogue::mayRun(std::string_view Process) const {
   if (!Replicas)
-    return std::nullopt;
-  std::set<std::string_view> Names;
+    return true;
+  return std::any_of(
+      Replicas->begin(), Replicas->end(), [Process](const auto &Entry) {
+        return std::any_of(
+            Entry.second.begin(), Entry.second.end(),
+            [Process](const replica &R) { return R.process() == Process; });
+      });
+}
+
+std::string_view query_catalogue::processAt(std::string_view Shard,
+                                            std::string_view Address) const {
+  if (!Replicas)
+    return {};
+  auto Found = Replicas->find(Shard);
+  if (Found == Replicas->end())
+    return {};
+  for (const replica &Replica : Found->second)
+    if (Replica.Address == Address)
+      return Replica.process();
+  return {};
+}
+
+std::vector<std::string> query_catalogue::neighbours(
+    std::string_view Address, std::size_t Count,
+    const std::function<bool(std::string_view)> &Excluded) const {
+  if (!Replicas)
+    return {};
+  std::string_view DataCentre;
   for (const auto &[Shard, Serving] : *Replicas)
     for (const replica &Replica : Serving)
-      Names.insert(Replica.process());
-  return Names;
+      if (Replica.Address == Address)
+        DataCentre = Replica.DataCentre;
+  std::vector<std::string_view> Found;
+  for (const auto &[Shard, Serving] : *Replicas)
+    for (const replica &Replica : Serving)
+      if (Replica.DataCentre == DataCentre && Replica.Address != Address &&
+          !Excluded(Replica.Address))
+        Found.push_back(Replica.Address);
+  // Spread over all of them, as those of one shard can be down together.
+  std::vector<std::string> Chosen;
+  std::size_t Taken = std::min(Count, Found.size());
+  for (std::size_t I = 0; I < Taken; ++I)
+    Chosen.emplace_back(Found[I * Found.size() / Taken]);
+  return Chosen;
 }
 
 std::vector<std::string> query_catalogue::profileNames() const {
--- a/packages/core/masticproxy/src/Query/query_catalogue.h
+++ b/packages/core/masticproxy/src/Query/query_catalogue.h
@@ -4,6 +4,8 @@
 #include "masticproxy/src/Query/index_map.h"
 #include "masticproxy/src/Query/profile.h"
 
+#include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -66,9 +68,30 @@
   /// set by setReplicas().
   std::vector<std::string> addressesOutside(std::string_view DataCentre) const;
 
-  /// \returns the processes of all replicas that were set by setReplicas(), or
-  /// nothing if none were set.
-  std::optional<std::set<std::string_view>> processes() const;
+  /// Sets the processes that are leaving, which are not among the replicas.
+  void setLeaving(std::set<std::string, std::less<>> Processes) {
+    Leaving = std::move(Processes);
+  }
+
+  /// \returns whether \p Process is leaving.
+  bool isLeaving(std::string_view Process) const {
+    return Leaving.contains(Process);
+  }
+
+  /// \returns whether \p Process may be running: it is a replica, or replicas
+  /// are not known by their processes.
+  bool mayRun(std::string_view Process) const;
+
+  /// \returns the process that serves \p Shard at \p Address; "" if there is
+  /// none.
+  std::string_view processAt(std::string_view Shard,
+                             std::string_view Address) const;
+
+  /// \returns up to \p Count addresses of replicas in the data centre of the
+  /// one at \p Address, without that one and those that \p Excluded holds for.
+  std::vector<std::string>
+  neighbours(std::string_view Address, std::size_t Count,
+             const std::function<bool(std::string_view)> &Excluded) const;
 
   /// \returns the names of all profiles.
   std::vector<std::string> profileNames() const;
@@ -83,6 +106,7 @@
   std::map<std::string, index_map, std::less<>> Indexes;
   std::shared_ptr<const route_table> Routes;
   std::optional<replica_map> Replicas;
+  std::set<std::string, std::less<>> Leaving;
 };
 
 } // namespace masticproxy
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -25,7 +25,7 @@
       Upstreams(makePolicy(this->Limits.Policy, this->Limits.Seed,
                            this->Limits.Tuning)),
       Admission(this->Limits.Queries), Inbox(this->Limits.Relayed),
-      Poison(Clock, this->Limits.ProbeFirst), Reach(Clock),
+      Poison(Clock, this->Limits.ProbeFirst), CauseCheck(Clock), Reach(Clock),
       Indexes(this->Limits.Seed) {
   Upstreams.setDataCentre(this->Limits.DataCentre);
   Upstreams.setAllDataCentres(this->Limits.AllDataCentres);
@@ -75,8 +75,9 @@
   const index_map *Index = Catalogue->findIndex(Event.Index);
   if (!Index)
     return refuse(Event, unknown_index{});
-  if (Poison.condemned(fingerprintOf(Event)))
-    return refuse(Event, condemned{});
+  query_fingerprint Fingerprint = fingerprintOf(Event);
+  if (Poison.condemned(Fingerprint))
+    return refuse(Event, poisonOutcome(Fingerprint, /*MayHaveRun=*/false));
   // Each time its caller sends it, a forwarded request gets a new id and
   // reaches one VM only, so no other VM could run it as well.
   bool NeedsClaim = !Profile->MayRepeat && !Route;
@@ -94,12 +95,12 @@
   time_point Now = Clock.now();
   profile Rules = *Profile;
   Rules.Wait = std::min(Rules.Wait, Event.CallerWait.value_or(Rules.Wait));
-  query_run NewRun(std::move(Event), Rules, Index->Current, Now + Rules.Wait);
-  if (Route)
   if (LeavesAt)
     Rules.Wait =
         std::clamp(std::chrono::duration_cast<milliseconds>(*LeavesAt - Now),
                    milliseconds(0), Rules.Wait);
+  query_run NewRun(std::move(Event), Rules, Index->Current, Now + Rules.Wait);
+  if (Route)
     NewRun.follow(std::move(Route));
   if (Rules.TargetLatency.count() > 0)
     NewRun.setAnswerBy(Now + Rules.TargetLatency - Limits.AnswerMargin);
@@ -147,15 +148,15 @@
     Upstreams.misdirected(Record->Instance);
   if (Event.Failure == attempt_failure::Refused)
     Reach.recordResponse(Record->Upstream);
-  onFailure(*Record, Event);
   if (Event.AtLimit)
     Upstreams.atLimit(Record->Upstream, Clock.now());
+  onFailure(*Record, Event);
 }
 
 void query_engine::onFailure(const attempt_record &Record,
                              const attempt_failed &Event) {
   recordAttemptEnd(Record, &Event.Failure);
-  recordUpstreamDeath(Event);
+  recordUpstreamDeath(Record, Event);
   continueAfterFailure(Record, Event);
   startWaiting(Waiting.takeFor(Record.Upstream));
 }
@@ -186,7 +187,7 @@
     Reach.follow(Catalogue->addressesOutside(Limits.DataCentre));
   for (auto &[Ticket, Run] : Runs)
     restartIfDue(Ticket, Run);
-  recordGoneUpstreams();
+  recordRestartedUpstreams();
 }
 
 void query_engine::on(timer_fired) {
@@ -214,6 +215,7 @@
 void query_engine::on(const upstream_probed &Event) {
   if (Event.Reached)
     Reach.recordResponse(Event.Upstream);
+  checkCommonCause(Event);
 }
 
 void query_engine::updateReachability() {
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Admission/admission.h"
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Claims/claim_timing.h"
+#include "masticproxy/src/Poison/common_cause_check.h"
 #include "masticproxy/src/Poison/poison_guard.h"
 #include "masticproxy/src/Query/engine_command.h"
 #include "masticproxy/src/Query/engine_event.h"
@@ -53,10 +54,10 @@
   /// Connections that this VM may hold to one upstream; 0: its share of those
   /// that the upstream accepts.
   unsigned UpstreamConnections = 0;
-  /// Part of a profile's target latency that is reserved for sending the answer
   /// Attempts a second at one upstream for which one of these connections is
   /// enough; 0: all of them may be used at any rate.
   double RatePerConnection = 0;
+  /// Part of a profile's target latency that is reserved for sending the answer
   /// to the caller.
   std::chrono::milliseconds AnswerMargin{0};
   /// Parameters of the policy.
@@ -130,11 +131,11 @@
   void on(attempt_failed Event);
   void on(catalogue_changed Event);
   void on(timer_fired Event);
+  void on(const leave_planned &Event) { LeavesAt = Event.Time; }
   void on(leave_started Event);
   void on(relay_failed Event);
   void on(const relay_arrived &Event);
   void on(const relay_cancelled &Event);
-  void on(const leave_planned &Event) { LeavesAt = Event.Time; }
   void on(relays_closed Event);
   void on(claim_decision Event);
   void on(const poison_notice &Event);
@@ -232,15 +233,25 @@
                             const attempt_failed &Event);
   /// Records that an attempt ended without a result. If its upstream died,
   /// queries may become suspect or condemned, and other VMs are notified.
-  void recordUpstreamDeath(const attempt_failed &Event);
+  void recordUpstreamDeath(const attempt_record &Record,
+                           const attempt_failed &Event);
+  /// Reports \p Notices, and checks whether the deaths, of which \p Record was
+  /// one, have a common cause.
+  void reportDeaths(const attempt_record &Record,
+                    std::vector<poison_notice> Notices);
+  /// Records the result of a probe for that check.
+  void checkCommonCause(const upstream_probed &Event);
   /// Records that an attempt was answered with a result.
   void recordAnswer(const attempt_answered &Event,
                     const attempt_record &Record);
-  /// Records which upstreams are no longer in the catalogue.
-  void recordGoneUpstreams();
+  /// Records which upstreams left, or started again, by the new catalogue.
+  void recordRestartedUpstreams();
   void report(std::vector<poison_notice> Notices);
-  /// Finishes the requests with \p Fingerprint if it is condemned.
+  /// Finishes the requests with \p Fingerprint if it must not be run.
   void finishCondemned(query_fingerprint Fingerprint);
+  /// \returns the outcome of a request that must not be run.
+  query_outcome poisonOutcome(query_fingerprint Fingerprint,
+                              bool MayHaveRun) const;
   /// \returns the shards in the order in which a run starts them.
   std::vector<std::size_t> shardOrder(const query_run &Run) const;
   void refuse(const query_arrived &Request, query_outcome Outcome);
@@ -253,6 +264,7 @@
   relay_router Router;
   relay_inbox Inbox;
   poison_guard Poison;
+  common_cause_check CauseCheck;
   partition_detector Reach;
   run_map Runs;
   std::unordered_map<attempt_id, attempt_record> Attempts;
@@ -264,10 +276,10 @@
   attempt_id NextAttempt = 1;
   bool Configured = false;
   bool Leaving = false;
+  /// When the process leaves, if that is planned.
+  std::optional<time_point> LeavesAt;
 };
 
 } // namespace masticproxy
 
 #endif
-  /// When the process leaves, if that is planned.
-  std::optional<time_point> LeavesAt;
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -115,6 +115,14 @@
     State.Attempted = false;
 }
 
+bool query_run::wasTriedAt(std::string_view Upstream) const {
+  return std::any_of(Shards.begin(), Shards.end(),
+                     [Upstream](const shard_state &S) {
+                       return std::find(S.Tried.begin(), S.Tried.end(),
+                                        Upstream) != S.Tried.end();
+                     });
+}
+
 bool query_run::isUnreachable(std::size_t Shard, std::size_t Replicas) const {
   return Shards[Shard].ConsecutiveUnsent >= UnreachableRounds * Replicas;
 }
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -145,6 +145,9 @@
     return Shards[Shard].Tried;
   }
 
+  /// \returns whether any shard was tried at \p Upstream.
+  bool wasTriedAt(std::string_view Upstream) const;
+
   /// \returns the attempts that are open at a shard.
   std::span<const attempt_id> openAttempts(std::size_t Shard) const {
     return Shards[Shard].Open;
--- a/packages/core/tests/notice_publisher_test.cpp
+++ b/packages/core/tests/notice_publisher_test.cpp
@@ -67,13 +67,55 @@
   notice_publisher Publisher(Clock);
   Publisher.onNotice(notice(Query, 2));
   publish_notice Write = published(Publisher);
-  Publisher.conflicted(Write, /*HalfRounds=*/2, Version);
+  Publisher.conflicted(Write, notice(Query, 1), Version);
   Write = published(Publisher);
   cr_assert(Write.Version == Version);
-  Publisher.conflicted(Write, /*HalfRounds=*/6, Version + 1);
+  Publisher.conflicted(Write, notice(Query, 3), Version + 1);
   cr_assert(not Publisher.next());
 }
 
+// Guards against: two VMs that each saw one upstream end under a request hold
+// one death, whoever writes last.
+Test(notice_publisher, adds_up_deaths_of_other_processes_at_other_times) {
+  manual_clock Clock;
+  notice_publisher Publisher(Clock);
+  poison_notice Own = notice(Query, 1);
+  Own.Processes = {"a"};
+  Publisher.onNotice(Own);
+  Clock.advance(poison_timing{}.ShareAfter);
+  poison_notice Stored = notice(Query, 1);
+  Stored.Processes = {"b"};
+  Stored.Age = std::chrono::seconds(3);
+  Publisher.conflicted(published(Publisher), Stored, Version);
+  publish_notice Write = published(Publisher);
+  cr_assert(Write.Notice.Rounds == 2 && Write.Version == Version);
+  Publisher.written(Write, Version + 1);
+  cr_assert(not Publisher.next());
+}
+
+// Guards against: upstreams that fall together let each VM write an object for
+// every request that was in flight.
+Test(notice_publisher, bounds_the_writes_for_suspects) {
+  constexpr int Suspects = 200;
+  constexpr std::chrono::seconds Span{10};
+  manual_clock Clock;
+  notice_publisher Publisher(Clock);
+  for (int I = 0; I < Suspects; ++I)
+    Publisher.onNotice(notice(static_cast<query_fingerprint>(I), 1));
+  unsigned Writes = 0;
+  for (time_point End = Clock.now() + Span; Clock.now() < End;) {
+    Clock.advance(milliseconds(100));
+    if (auto Write = Publisher.next()) {
+      Publisher.written(*Write, ++Writes);
+      cr_assert(*Publisher.nextWakeup() > Clock.now() || Writes < 4);
+    }
+  }
+  // At 480 VMs less than the 300 writes a second that a store takes.
+  cr_assert(Writes <= 8, "%u writes", Writes);
+  Publisher.onNotice(notice(Suspects, 2));
+  cr_assert(published(Publisher).Notice.Rounds == 2);
+}
+
 Test(notice_publisher, withdraws_what_it_wrote_when_the_suspicion_ends) {
   manual_clock Clock;
   notice_publisher Publisher(Clock);
@@ -97,7 +139,7 @@
   Clock.advance(poison_timing{}.forgottenAfter(2));
   std::optional<notice_write> Write = Publisher.next();
   cr_assert(std::holds_alternative<withdraw_notice>(*Write));
-  Publisher.conflicted(*Write, 0, 0);
+  Publisher.conflicted(*Write, std::nullopt, 0);
   cr_assert(Publisher.size() == 0);
 }
 
--- a/packages/core/tests/poison_guard_test.cpp
+++ b/packages/core/tests/poison_guard_test.cpp
@@ -17,6 +17,8 @@
 constexpr query_fingerprint Query = 1;
 constexpr query_fingerprint Other = 2;
 
+bool atU1(const upstream_attempt &Attempt) { return Attempt.Process == "u1"; }
+
 /// \brief A guard with a clock, as a VM of the users' platform has it.
 struct guard_fixture {
   /// Starts an attempt at \p Upstream a little later.
@@ -63,6 +65,15 @@
   cr_assert(F.Guard.condemned(Query));
 }
 
+// Guards against: requests that are all refused a connection implicate each
+// other, although none of them ran.
+Test(poison_guard, a_refused_connection_implicates_none_that_started_later) {
+  guard_fixture F;
+  std::uint64_t First = F.start(Other, "u1");
+  F.start(Query, "u1");
+  cr_assert(F.Guard.refusedConnection(First).empty());
+}
+
 Test(poison_guard, a_response_clears_the_attempts_lost_before) {
   guard_fixture F;
   F.Guard.lost(F.start(Query, "u1"));
@@ -70,15 +81,46 @@
   cr_assert(F.Guard.refusedConnection(F.start(Other, "u1")).empty());
 }
 
-Test(poison_guard, an_upstream_that_leaves_the_list_implicates_as_well) {
+Test(poison_guard, an_upstream_that_starts_again_implicates_as_well) {
   guard_fixture F;
   F.Guard.lost(F.start(Query, "u1"));
-  auto Notices = F.Guard.upstreamsGone(
-      [](std::string_view Upstream) { return Upstream == "u1"; });
+  auto Notices = F.Guard.upstreamsDied(atU1);
   cr_assert(Notices.size() == 1 && Notices[0].Fingerprint == Query);
   cr_assert(not F.Guard.hasLost());
 }
 
+// Guards against: requests that were slow at upstreams that then left as
+// planned are suspected, each at every VM.
+Test(poison_guard, an_upstream_that_leaves_implicates_nothing) {
+  guard_fixture F;
+  F.Guard.lost(F.start(Query, "u1"));
+  F.Guard.upstreamsLeft(atU1);
+  cr_assert(not F.Guard.hasLost() && F.Guard.upstreamsDied(atU1).empty());
+}
+
+// Guards against: a request that was in flight at an upstream behind a network
+// partition that resets connections stays suspect, or is condemned.
+Test(poison_guard, a_common_cause_found_later_ends_a_suspicion) {
+  guard_fixture F;
+  time_point Before = F.Clock.now();
+  F.Guard.upstreamDied(F.start(Query, "u1"));
+  F.Guard.setEvidence(death_evidence::Unchecked);
+  F.Guard.upstreamDied(F.start(Query, "u2"));
+  cr_assert(not F.Guard.condemned(Query));
+  F.Guard.setEvidence(death_evidence::Query);
+  cr_assert(F.Guard.deathsHadCommonCause(Before).size() == 1);
+  // It is no suspect any more, so several attempts of it may be in flight.
+  F.start(Query, "u3");
+  cr_assert(F.Guard.mayStart(Query, "u4"));
+}
+
+Test(poison_guard, a_common_cause_excuses_no_earlier_death) {
+  guard_fixture F;
+  F.Guard.upstreamDied(F.start(Query, "u1"));
+  F.Clock.advance(std::chrono::seconds(1));
+  cr_assert(F.Guard.deathsHadCommonCause(F.Clock.now()).empty());
+}
+
 // Guards against: while the fate of a suspect's upstream is open, further
 // attempts each end one more.
 Test(poison_guard, a_suspect_is_held_back_while_its_attempt_is_lost) {
@@ -125,9 +167,12 @@
   poison_register Register(Clock, {});
   auto Crash = [&] {
     Clock.advance(milliseconds(1));
-    time_point Started = Clock.now();
+    upstream_attempt Attempt;
+    Attempt.Fingerprint = Query;
+    Attempt.Started = Clock.now();
     Clock.advance(milliseconds(1));
-    Register.upstreamDied(Query, "shard", Started);
+    Attempt.Ended = Clock.now();
+    Register.upstreamDied(Attempt, death_evidence::Query);
   };
   Crash();
   Crash();
--- a/packages/core/tests/poison_property_test.cpp
+++ b/packages/core/tests/poison_property_test.cpp
@@ -197,7 +197,11 @@
 Test(poison, an_answer_from_the_shard_of_the_death_ends_the_suspicion) {
   manual_clock Clock;
   poison_register Register(Clock, {});
-  Register.upstreamDied(Innocent, "0", Clock.now());
+  upstream_attempt Attempt;
+  Attempt.Fingerprint = Innocent;
+  Attempt.Shard = "0";
+  Attempt.Started = Attempt.Ended = Clock.now();
+  Register.upstreamDied(Attempt, death_evidence::Query);
   Register.shardAnswered(Innocent, "1");
   cr_assert(Register.stateOf(Innocent) == poison_state::Suspect);
   Register.shardAnswered(Innocent, "0");
--- a/packages/core/tests/poison_sharing_property_test.cpp
+++ b/packages/core/tests/poison_sharing_property_test.cpp
@@ -2,7 +2,9 @@
 /// Generated schedules over the VMs of a whole system as it is deployed on the
 /// users' platform: no exchange between VMs, no probing of new queries, and the
 /// platform's store as the only way from one VM to another. One query crashes
-/// every upstream that runs it and comes again at any VM.
+/// every upstream that runs it and comes again at any VM. Upstreams close their
+/// connections as they end, or refuse new ones, or fall silent and register
+/// anew under another identity.
 
 #include "manual_clock.h"
 #include "masticproxy/Poison"
@@ -26,9 +28,13 @@
   None,
   PublishesNothing,
   ForgetsAtRestart,
-  IgnoresSilentEnds
+  IgnoresSilentEnds,
+  IgnoresNewStarts
 };
 
+/// How upstreams end.
+enum class upstream_end { Closes, Refuses, StartsAnew };
+
 /// The users' rule: after the third crash and this time, at most three further
 /// sends by VMs that were undisturbed for this time, as the store was.
 constexpr std::size_t FreeCrashes = 3;
@@ -46,6 +52,11 @@
 constexpr int LongestSendGapMs = 1500;
 /// Time after which an attempt without a response is given up.
 constexpr milliseconds AttemptTimeout{300};
+/// Time after which an upstream that ended registers anew, and time until a VM
+/// has heard of a registration.
+constexpr int ShortestRestartMs = 1000;
+constexpr int LongestRestartMs = 3000;
+constexpr int LongestRegistrationLagMs = 350;
 
 struct stored_notice {
   poison_notice Notice;
@@ -71,7 +82,7 @@
     unsigned Count = 1 + Random() % MostVms;
     for (unsigned I = 0; I < Count; ++I)
       Vms.push_back(std::make_unique<simulated_vm>(Clock));
-    SilentEnds = Random() % 2 == 0;
+    End = static_cast<upstream_end>(Random() % 3);
     FaultyStore = Random() % 2 == 0;
     Restarts = Random() % 2 == 0;
   }
@@ -103,6 +114,7 @@
   void pass(milliseconds Span) {
     for (milliseconds Left = Span; Left > milliseconds(0); Left -= Step) {
       Clock.advance(std::min(Left, Step));
+      hearOfStarts();
       for (auto &Vm : Vms) {
         write(*Vm);
         read(*Vm);
@@ -110,6 +122,20 @@
     }
   }
 
+  /// Lets each VM hear of the upstreams that started anew.
+  void hearOfStarts() {
+    for (new_start &Start : Starts) {
+      if (Start.Heard || Start.HeardAt > Clock.now() || !storeIsUp())
+        continue;
+      Start.Heard = true;
+      auto IsIt = [&Start](const upstream_attempt &Attempt) {
+        return Attempt.Process == Start.Ended;
+      };
+      for (poison_notice &Notice : Vms[Start.Vm]->Guard.upstreamsDied(IsIt))
+        share(*Vms[Start.Vm], std::move(Notice));
+    }
+  }
+
   void write(simulated_vm &Vm) {
     while (storeIsUp()) {
       std::optional<notice_write> Write = Vm.Publisher.next();
@@ -118,15 +144,15 @@
       if (auto *Publish = std::get_if<publish_notice>(&*Write))
         put(Vm, *Publish);
       else
-        Vm.Publisher.conflicted(*Write, 0, 0);
+        Vm.Publisher.conflicted(*Write, std::nullopt, 0);
     }
   }
 
   void put(simulated_vm &Vm, const publish_notice &Write) {
     std::uint64_t Current = Stored ? Stored->Version : 0;
     if (Write.Version != Current)
-      return Vm.Publisher.conflicted(Write, Stored->Notice.halfRounds(),
-                                     Current);
+      return Vm.Publisher.conflicted(
+          Write, Stored ? std::optional(heard()) : std::nullopt, Current);
     if (Fault != injected_fault::PublishesNothing)
       Stored = stored_notice{Write.Notice, Current + 1, Clock.now()};
     Vm.Publisher.written(Write, Current + 1);
@@ -142,10 +168,15 @@
       return;
     Vm.ReadAt.reset();
     Vm.Read = Stored->Version;
+    Vm.Guard.onNotice(heard());
+  }
+
+  /// \returns the stored notice as a VM reads it.
+  poison_notice heard() const {
     poison_notice Notice = Stored->Notice;
     Notice.Age +=
         std::chrono::duration_cast<milliseconds>(Clock.now() - Stored->Written);
-    Vm.Guard.onNotice(Notice);
+    return Notice;
   }
 
   void restart(unsigned Index) {
@@ -158,7 +189,9 @@
   void send(simulated_vm &Vm) {
     for (unsigned I = 0; I < AttemptsOfRequest; ++I) {
       pass(milliseconds(1));
-      std::string Upstream = "u" + std::to_string(number(Upstreams));
+      // The number of crashes makes the identity of each start.
+      std::string Upstream = "u" + std::to_string(number(Upstreams)) + "/" +
+                             std::to_string(Crashes.size());
       bool Refused =
           Vm.Guard.condemned(Query) || !Vm.Guard.mayStart(Query, Upstream);
       if (Refused)
@@ -173,13 +206,15 @@
       ++LateSends;
     Vm.Guard.started(++Attempts, Query, Upstream, "shard");
     Crashes.push_back(Clock.now());
-    if (!SilentEnds) {
+    if (End == upstream_end::Closes) {
       pass(milliseconds(2));
       return share(Vm, Vm.Guard.upstreamDied(Attempts));
     }
     std::uint64_t Silent = Attempts;
     pass(AttemptTimeout);
     Vm.Guard.lost(Silent);
+    if (End == upstream_end::StartsAnew)
+      return startAnew(Vm, Upstream);
     if (Fault == injected_fault::IgnoresSilentEnds)
       return;
     // Another request finds that nothing listens there.
@@ -188,6 +223,19 @@
       share(Vm, std::move(Notice));
   }
 
+  void startAnew(const simulated_vm &Vm, const std::string &Upstream) {
+    if (Fault == injected_fault::IgnoresNewStarts)
+      return;
+    auto Found = std::find_if(Vms.begin(), Vms.end(), [&Vm](const auto &Other) {
+      return Other.get() == &Vm;
+    });
+    int After = ShortestRestartMs +
+                number(LongestRestartMs - ShortestRestartMs) +
+                number(LongestRegistrationLagMs);
+    Starts.push_back({static_cast<std::size_t>(Found - Vms.begin()), Upstream,
+                      Clock.now() - AttemptTimeout + milliseconds(After)});
+  }
+
   static void share(simulated_vm &Vm, std::optional<poison_notice> Notice) {
     if (Notice)
       Vm.Publisher.onNotice(*Notice);
@@ -204,7 +252,16 @@
   time_point StoreDownUntil{};
   std::vector<time_point> Crashes;
   std::uint64_t Attempts = 0;
-  bool SilentEnds = false;
+  struct new_start {
+    /// Who ran the attempt.
+    std::size_t Vm;
+    /// The process that ended.
+    std::string Ended;
+    time_point HeardAt;
+    bool Heard = false;
+  };
+  std::vector<new_start> Starts;
+  upstream_end End = upstream_end::Closes;
   bool FaultyStore = false;
   bool Restarts = false;
 };
@@ -238,3 +295,7 @@
 Test(poison_sharing, detects_silent_ends_that_are_ignored) {
   cr_assert_not(holds(injected_fault::IgnoresSilentEnds));
 }
+
+Test(poison_sharing, detects_new_starts_that_are_ignored) {
+  cr_assert_not(holds(injected_fault::IgnoresNewStarts));
+}
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread_claims.cpp
@@ -3,6 +3,7 @@
 #include "masticproxy/src/Daemon/engine_thread.h"
 #include "masticproxy/src/Drain/drain_timing.h"
 #include "masticproxy/src/Net/event_log.h"
+#include "masticproxy/src/Poison/poison_timing.h"
 
 using namespace masticproxy;
 
@@ -24,17 +25,16 @@
 }
 
 void engine_thread::carryOut(const poison_notice &Command) {
-  std::string_view Held = Command.Rounds > 1 ? "condemned" : "suspected";
+  bool Condemned = Command.Rounds >= poison_timing::RoundsToCondemn;
+  std::string_view Held = Condemned ? "condemned" : "suspected";
   Counters.get("poison_total", "verdict=\"" + std::string(Held) + "\"").add();
   Events.add("poison_" + std::string(Held), "",
              "query " + std::to_string(Command.Fingerprint) + " at shard " +
                  Command.Shard);
   logWarning("event=query_" + std::string(Held) + " query=" +
              std::to_string(Command.Fingerprint) + " shard=" + Command.Shard +
-             " rounds=" + std::to_string(Command.Rounds) +
-             " presumed=" + (Command.Presumed ? "true" : "false"));
-  if (!Command.isShared())
-    return;
+             " rounds=" + std::to_string(Command.Rounds) + " process=" +
+             (Command.Processes.empty() ? "-" : Command.Processes.back()));
   // A lost notice costs the other VMs one more death each at most.
   if (!Control->push(Command))
     Counters.get("notice_ring_full_total").add();
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -179,13 +179,13 @@
     return PlatformDuty.reachable();
   }
 
-  void wakeControl() { caf::anon_send(Control, wake_atom_v); }
   /// Waits until no connection of a caller is open, until \p Latest at most.
   void awaitNoConnections(time_point Latest) {
     while (Callers.connections() > 0 && Clock.now() < Latest)
       std::this_thread::sleep_for(FinishPoll);
   }
 
+  void wakeControl() { caf::anon_send(Control, wake_atom_v); }
 
   node_settings Settings;
   os_clock Clock;
@@ -280,11 +280,11 @@
 
 void entry_daemon::leave() {
   logInfo("event=leaving");
-  Parts->Callers.stopBeingReady();
   time_point Now = Parts->Clock.now();
   time_point Latest =
       Now + Parts->Settings.BalancerLag + Parts->Settings.FinishWithin;
   Parts->Engine.planLeave(Latest);
+  Parts->Callers.stopBeingReady();
   caf::anon_send(Parts->Control, leave_atom_v);
   // Other VMs have a choice of VMs; refused now, they take another at once.
   Parts->Engine.closeRelays();
--- a/packages/daemon/masticproxy/src/Daemon/suspicion_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/suspicion_thread.cpp
@@ -7,6 +7,7 @@
 #include "masticproxy/src/Platform/suspicion_codec.h"
 
 #include <exception>
+#include <optional>
 
 using namespace masticproxy;
 
@@ -104,16 +105,16 @@
 void suspicion_thread::onConflict(const notice_write &Write,
                                   const platform_conflict &Conflict) {
   if (!Conflict.Current)
-    return Publisher.conflicted(Write, 0, 0);
-  std::uint64_t HalfRounds = 0;
+    return Publisher.conflicted(Write, std::nullopt, 0);
+  std::optional<poison_notice> Current;
   try {
-    HalfRounds = platform::readSuspicion(*Conflict.Current, Clock).halfRounds();
+    Current = platform::readSuspicion(*Conflict.Current, Clock);
   } catch (const std::exception &Error) {
     // What can't be read is written over.
     logWarning("event=object_left_out object=\"" + Conflict.Current->Name +
                ": " + Error.what() + "\"");
   }
-  Publisher.conflicted(Write, HalfRounds, Conflict.Current->Version);
+  Publisher.conflicted(Write, Current, Conflict.Current->Version);
 }
 
 void suspicion_thread::pause(duration Span) {
--- a/packages/daemon/masticproxy/src/Daemon/upstream_check.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstream_check.cpp
@@ -19,8 +19,10 @@
 connection_check resultOf(const boost::system::error_code &Error) {
   if (!Error)
     return connection_check::Accepted;
-  return Error == boost::asio::error::connection_refused
-             ? connection_check::Refused
+  if (Error == boost::asio::error::connection_refused)
+    return connection_check::Refused;
+  return Error == boost::asio::error::connection_reset
+             ? connection_check::Reset
              : connection_check::Silent;
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/upstream_check.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstream_check.h
@@ -11,6 +11,8 @@
 /// What became of a new connection to an upstream.
 enum class connection_check {
   Accepted,
+  /// It was reset: the upstream holds as many connections as it takes.
+  Reset,
   /// Nothing listens there.
   Refused,
   /// There was no response.
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -106,10 +106,12 @@
 void upstreams_thread::carryOut(const probe_upstream &Command) {
   Counters.get("upstream_probes_total").add();
   std::string Upstream = Command.Upstream;
-  checkUpstream(
-      Loop.context(), Upstream, [this, Upstream](connection_check Result) {
-        report(upstream_probed{Upstream, Result == connection_check::Accepted});
-      });
+  checkUpstream(Loop.context(), Upstream,
+                [this, Upstream](connection_check Result) {
+                  bool Reached = Result == connection_check::Accepted ||
+                                 Result == connection_check::Reset;
+                  report(upstream_probed{Upstream, Reached});
+                });
 }
 
 void upstreams_thread::finish(attempt_id Attempt, exchange_result Result) {
@@ -135,9 +137,9 @@
   if (!Error.MayHaveRun) {
     Event.Failure = attempt_failure::NotSent;
     Event.ConnectionRefused = Error.Refused;
+    Event.AtLimit = Error.Closed;
     return report(Event);
   }
-    Event.AtLimit = Error.Closed;
   // One that responded to another attempt meanwhile is slow, not dead.
   const std::string &Upstream = Ended.Command.Upstream;
   bool Silent =
@@ -147,10 +149,9 @@
   // An upstream at its limit of connections resets them too, and a network
   // partition can swallow the check: only where nothing listens it died.
   checkUpstream(Loop.context(), Upstream,
-                [this, Event, Closed](connection_check Result) mutable {
-                  Event.UpstreamDied =
-                      Result == connection_check::Refused ||
-                      (Closed && Result == connection_check::Silent);
+                [this, Event](connection_check Result) mutable {
+                  Event.UpstreamDied = Result == connection_check::Refused;
+                  Event.AtLimit = Result == connection_check::Reset;
                   report(Event);
                 });
 }
--- a/packages/wire/masticproxy/src/Wire/peer_codec.cpp
+++ b/packages/wire/masticproxy/src/Wire/peer_codec.cpp
@@ -88,7 +88,9 @@
   std::pair<wire::PeerBody, Offset<void>> operator()(const poison_notice &M) {
     auto Packed = wire::CreatePoisonNotice(
         Out, M.Fingerprint, M.Rounds, Out.CreateString(M.Shard),
-        static_cast<std::uint64_t>(M.Age.count()), M.HalfRound);
+        static_cast<std::uint64_t>(M.Age.count()), M.HalfRound,
+        static_cast<std::uint64_t>(M.Span.count()),
+        Out.CreateVectorOfStrings(M.Processes));
     return {wire::PeerBody::PoisonNotice, Packed.Union()};
   }
 
@@ -142,11 +144,16 @@
 }
 
 std::variant<peer_message, frame_error> unpack(const wire::PoisonNotice &M) {
-  if (M.age_ms() > LongestAge)
+  if (M.age_ms() > LongestAge || M.span_ms() > LongestAge)
     return frame_error::Malformed;
-  return peer_message(
-      poison_notice{M.fingerprint(), M.rounds(), text(M.shard()),
-                    std::chrono::milliseconds(M.age_ms()), M.half_round()});
+  poison_notice Notice{M.fingerprint(), M.rounds(),
+                       text(M.shard()), std::chrono::milliseconds(M.age_ms()),
+                       M.half_round(),  std::chrono::milliseconds(M.span_ms())};
+  // A VM of an older version sends none.
+  if (M.processes())
+    for (const flatbuffers::String *Process : *M.processes())
+      Notice.Processes.push_back(text(Process));
+  return peer_message(std::move(Notice));
 }
 
 std::variant<peer_message, frame_error> unpack(const wire::DrainNotice &M) {
--- a/packages/wire/tests/frame_test.cpp
+++ b/packages/wire/tests/frame_test.cpp
@@ -65,7 +65,9 @@
         *rc::gen::arbitrary<std::uint32_t>(),
         *rc::gen::arbitrary<std::string>(),
         std::chrono::milliseconds(*rc::gen::inRange(0, 1000000)),
-        *rc::gen::arbitrary<bool>()};
+        *rc::gen::arbitrary<bool>(),
+        std::chrono::milliseconds(*rc::gen::inRange(0, 1000000)),
+        *rc::gen::arbitrary<std::vector<std::string>>()};
   case 3:
     return drain_notice{
         *rc::gen::arbitrary<std::string>(),
