Deaths after a common cause was found count for nothing

Cause: a death with a common cause counts for half, which is meant for deaths that only coincide with others. Here probes had just found the other upstreams out of reach.

A case of core_poison_guard_test.

--- a/packages/core/masticproxy/src/Poison/common_cause_check.cpp
+++ b/packages/core/masticproxy/src/Poison/common_cause_check.cpp
@@ -49,7 +49,7 @@
 
 death_evidence common_cause_check::evidence() const {
   bool Found = FoundAt && Clock.now() - *FoundAt < CauseLasts;
-  return Found ? death_evidence::CommonCause : death_evidence::Unchecked;
+  return Found ? death_evidence::Excused : death_evidence::Unchecked;
 }
 
 bool common_cause_check::isUnderWay() const {
--- a/packages/core/masticproxy/src/Poison/death_evidence.h
+++ b/packages/core/masticproxy/src/Poison/death_evidence.h
@@ -10,7 +10,9 @@
   /// It is not known yet whether other upstreams died at the same time.
   Unchecked,
   /// Other upstreams died at the same time that did not run the query.
-  CommonCause
+  CommonCause,
+  /// A check has just found most other upstreams out of reach.
+  Excused
 };
 
 } // namespace masticproxy
--- a/packages/core/masticproxy/src/Poison/poison_guard.cpp
+++ b/packages/core/masticproxy/src/Poison/poison_guard.cpp
@@ -149,7 +149,7 @@
   // death is not counted against this query.
   bool SuspectInFlight =
       !Attempt.Suspect && SuspectsAt.count(Attempt.Process) > 0;
-  if (SuspectInFlight)
+  if (SuspectInFlight || Evidence == death_evidence::Excused)
     return std::nullopt;
   return Register.upstreamDied(Attempt, evidenceAgainst(Attempt.Fingerprint));
 }
--- a/packages/core/tests/poison_false_alarm_property_test.cpp
+++ b/packages/core/tests/poison_false_alarm_property_test.cpp
@@ -298,6 +298,12 @@
       ++LostAt[One.Instance];
       break;
     case trouble::CutByReset:
+      // A kept connection is reset once a request was sent over it.
+      if (number(3) == 0) {
+        Failed.UpstreamDied = true;
+        break;
+      }
+      [[fallthrough]];
     case trouble::Ended:
       Failed.Failure = attempt_failure::NotSent;
       Failed.ConnectionRefused = true;
--- a/packages/core/tests/poison_guard_test.cpp
+++ b/packages/core/tests/poison_guard_test.cpp
@@ -114,6 +114,16 @@
   cr_assert(F.Guard.mayStart(Query, "u4"));
 }
 
+// Guards against: a request that is tried again and again during a partition
+// that resets connections is condemned.
+Test(poison_guard, deaths_after_a_common_cause_was_found_count_for_nothing) {
+  guard_fixture F;
+  F.Guard.setEvidence(death_evidence::Excused);
+  for (const char *Upstream : {"u1", "u2", "u3", "u4"})
+    cr_assert(not F.Guard.upstreamDied(F.start(Query, Upstream)));
+  cr_assert(not F.Guard.condemned(Query));
+}
+
 Test(poison_guard, a_common_cause_excuses_no_earlier_death) {
   guard_fixture F;
   F.Guard.upstreamDied(F.start(Query, "u1"));
