Date an outage by when its failure was noticed, not by the start of a watch

A watch can wait 20 s before it fails. Dated by its start, upstreams that are missing in the next list would be dropped at once, without the time that live ones have to register again. Found by reading; the platform was out of reach a call's timeout before the failure at most.

--- a/packages/daemon/masticproxy/src/Daemon/discovery_plan.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_plan.h
@@ -22,6 +22,8 @@
   read_freshness ListFreshness = read_freshness::Newest;
   /// Pause after a call that failed; it doubles with each further one.
   std::chrono::milliseconds FirstPause{100};
+  /// Longest wait for the answer to a call that does not watch.
+  std::chrono::milliseconds CallTimeout{1000};
   /// Told to control once the platform is out of reach, if anything.
   std::optional<discovery_event> OnOutage = {};
 };
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -86,7 +86,8 @@
   time_point Called = Clock.now();
   feed_result Result = Feed.next(Plan.WatchWait);
   if (auto *Failure = std::get_if<platform_unavailable>(&Result)) {
-    FailedAt = Called;
+    // A watch may have waited for long before the platform was lost.
+    FailedAt = std::max(Called, Clock.now() - Plan.CallTimeout);
     return onFailure(*Failure);
   }
   onSuccess();
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -74,7 +74,8 @@
   std::condition_variable Wake;
   bool Stopping = false;
   bool RetryNow = false;
-  /// When the last call that failed was made, if none was answered since.
+  /// A time at which the platform was out of reach, if no call was answered
+  /// since.
   std::optional<time_point> FailedAt;
   /// Finds the end of an outage for this one, if not null.
   const discovery_thread *Leader = nullptr;
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -126,6 +126,7 @@
         RegistrationDuty({.Kind = "registrations",
                           .WatchWait = Settings.PlatformWatchWait,
                           .Within = Settings.RegistrationsWithin,
+                          .CallTimeout = Settings.PlatformCallTimeout,
                           .OnOutage = registrations_outdated{}},
                          Clock, StoreCaller, UpstreamCodec, Counters,
                          Registrations),
