After a lost history a feed lists the newest, not a copy

What callers saw: nothing; the users paid.

Cause: suspicions are listed from copies, which lag by up to two seconds. While the store drops its history, a watch from a copy's revision is answered at once that the history is gone, the list comes from a copy again, and so on without a pause, at every VM and for as long as it lasts.

Change: the list that follows a lost history comes from the newest state, whatever the kind. Other lists stay as they were.

Shown by: net_object_feed_test:lists_the_newest_where_the_history_is_gone_and_lists_may_lag, which fails before (it asks a copy) and passes now.

--- a/packages/net/masticproxy/src/Net/object_feed.cpp
+++ b/packages/net/masticproxy/src/Net/object_feed.cpp
@@ -16,7 +16,7 @@
 
 feed_result object_feed::next(std::chrono::milliseconds Wait) {
   if (!Revision)
-    return list();
+    return list(listSource());
   feed_result Result = watch(Wait);
   // A platform that is about to lose its history can cut watches, and accept
   // new ones, before it tells the changes in between. Only a list is sure.
@@ -25,15 +25,18 @@
   return Result;
 }
 
-feed_result object_feed::list() {
+read_freshness object_feed::listSource() const {
+  // At a start nothing was missed: what the list lacks comes with the watch. A
+  // later list is read because the watch may have missed something.
+  return Listed ? ListFreshness : Freshness;
+}
+
+feed_result object_feed::list(read_freshness Source) {
   std::vector<platform_object> Objects;
   std::optional<std::uint64_t> Oldest;
   std::string Continue;
   feed_news News;
   Pages = 0;
-  // At a start nothing was missed: what the list lacks comes with the watch. A
-  // later list is read because the watch may have missed something.
-  read_freshness Source = Listed ? ListFreshness : Freshness;
   do {
     ++Pages;
     auto Answer = Platform.call(Codec.listRequest(Continue, Source));
@@ -70,7 +73,9 @@
     return *Failure;
   if (std::holds_alternative<history_gone>(Read)) {
     Revision.reset();
-    return list();
+    // A copy can be older than the history that is left: the next watch would
+    // find it gone again, and so on without a pause.
+    return list(read_freshness::Newest);
   }
   const auto &Changes = std::get<platform_changes>(Read);
   feed_news News;
--- a/packages/net/masticproxy/src/Net/object_feed.h
+++ b/packages/net/masticproxy/src/Net/object_feed.h
@@ -43,7 +43,10 @@
   feed_result next(std::chrono::milliseconds Wait);
 
 private:
-  feed_result list();
+  feed_result list(read_freshness Source);
+  /// \returns the source of the next list, unless a watch has shown a better
+  /// one.
+  read_freshness listSource() const;
   feed_result watch(std::chrono::milliseconds Wait);
 
   const platform_caller &Platform;
--- a/packages/net/tests/object_feed_test.cpp
+++ b/packages/net/tests/object_feed_test.cpp
@@ -136,11 +136,12 @@
 /// Takes \p Steps steps of a feed against \p Script. \returns what was asked.
 std::vector<std::string> follow(std::vector<scripted_store::line> Script,
                                 int Steps, std::vector<feed_result> &Results,
-                                read_freshness Freshness = {}) {
+                                read_freshness Freshness = {},
+                                read_freshness ListFreshness = {}) {
   scripted_store Store(std::move(Script));
   platform_caller Caller(Store.address(), CallTimeout);
   plain_codec Codec;
-  object_feed Feed(Caller, Codec, Freshness);
+  object_feed Feed(Caller, Codec, Freshness, ListFreshness);
   for (int I = 0; I < Steps; ++I)
     Results.push_back(Feed.next(Wait));
   return Store.Asked;
@@ -226,6 +227,23 @@
                               "/lag/30"}));
 }
 
+// Guards against: a feed whose lists come from copies finds the history gone
+// again and again while the platform drops it, and asks without a pause.
+Test(object_feed,
+     lists_the_newest_where_the_history_is_gone_and_lists_may_lag) {
+  std::vector<feed_result> Results;
+  auto Asked =
+      follow({{200, "list 7 a"},
+              {410, ""},
+              {200, "list 30 b"},
+              {200, "changes 31 a"},
+              {503, ""},
+              {200, "list 31 a"}},
+             5, Results, read_freshness::MayLag, read_freshness::MayLag);
+  cr_assert(Asked == (targets{"/copy/", "/lag/7", "/list/", "/lag/30",
+                              "/lag/31", "/copy/"}));
+}
+
 Test(object_feed, lists_again_where_the_history_is_gone) {
   std::vector<feed_result> Results;
   auto Asked = follow(
