--- a/packages/core/masticproxy/src/Poison/poison_guard.cpp
+++ b/packages/core/masticproxy/src/Poison/poison_guard.cpp
@@ -54,11 +54,6 @@
   Attempts.emplace(Attempt, std::move(Record));
 }
 
-std::string_view poison_guard::addressOf(std::uint64_t Attempt) const {
-  auto Found = Attempts.find(Attempt);
-  return Found == Attempts.end() ? std::string_view() : Found->second.Address;
-}
-
 std::string_view poison_guard::processOf(std::uint64_t Attempt) const {
   auto Found = Attempts.find(Attempt);
   return Found == Attempts.end() ? std::string_view() : Found->second.Process;
@@ -125,7 +120,11 @@
 
 std::vector<poison_notice> poison_guard::upstreamsDied(
     const std::function<bool(const upstream_attempt &)> &Died) {
-  return recordDeaths(Lost.takeIf(Died));
+  std::vector<poison_notice> Notices;
+  for (const upstream_attempt &Attempt : Lost.takeIf(Died))
+    if (std::optional<poison_notice> Notice = recordDeath(Attempt))
+      Notices.push_back(std::move(*Notice));
+  return Notices;
 }
 
 void poison_guard::upstreamsLeft(
@@ -133,15 +132,6 @@
   Lost.takeIf(Left);
 }
 
-std::vector<poison_notice>
-poison_guard::recordDeaths(const std::vector<upstream_attempt> &Ended) {
-  std::vector<poison_notice> Notices;
-  for (const upstream_attempt &Attempt : Ended)
-    if (std::optional<poison_notice> Notice = recordDeath(Attempt))
-      Notices.push_back(std::move(*Notice));
-  return Notices;
-}
-
 std::optional<poison_notice>
 poison_guard::recordDeath(const upstream_attempt &Attempt) {
   Deaths.add(Attempt.Fingerprint, Attempt.Process);
--- a/packages/core/masticproxy/src/Poison/poison_guard.h
+++ b/packages/core/masticproxy/src/Poison/poison_guard.h
@@ -54,9 +54,6 @@
                std::string_view Process, std::string_view Shard,
                std::string_view Address = {});
 
-  /// \returns the address of the upstream of an attempt; "" if it is unknown.
-  std::string_view addressOf(std::uint64_t Attempt) const;
-
   /// \returns the process of the upstream of an attempt; "" if it is unknown.
   std::string_view processOf(std::uint64_t Attempt) const;
 
@@ -130,8 +127,6 @@
   /// \returns the attempt, which ends now.
   std::optional<upstream_attempt> removeAttempt(std::uint64_t Attempt);
   std::optional<poison_notice> recordDeath(const upstream_attempt &Attempt);
-  std::vector<poison_notice>
-  recordDeaths(const std::vector<upstream_attempt> &Ended);
   death_evidence evidenceAgainst(query_fingerprint Fingerprint) const;
 
   const clock &Clock;
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -198,14 +198,6 @@
   startDueHedges();
 }
 
-void query_engine::on(leave_started) {
-  Leaving = true;
-  // Their connections end with the process: whoever waits must hear what became
-  // of its request.
-  while (!Runs.empty())
-    finish(Runs.begin());
-}
-
 void query_engine::on(const caller_left &Event) {
   auto Run = Runs.find(Event.Ticket);
   if (Run != Runs.end())
--- a/packages/core/masticproxy/src/Query/query_engine_finish.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_finish.cpp
@@ -6,6 +6,14 @@
 
 using namespace masticproxy;
 
+void query_engine::on(leave_started) {
+  Leaving = true;
+  // Their connections end with the process: whoever waits must hear what became
+  // of its request.
+  while (!Runs.empty())
+    finish(Runs.begin());
+}
+
 void query_engine::finishIfOver(query_ticket Ticket) {
   auto Run = Runs.find(Ticket);
   if (Run == Runs.end())
