--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+here=$(cd "$(dirname "$0")" && pwd)
+program=$here/../build/case_$(basename "$here")
+[ -x "$program" ] || { echo "run review/build.sh first" >&2; exit 2; }
+exec "$program" "$here/../.." "$here"
