--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -32,6 +32,8 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <string>
@@ -113,11 +115,24 @@
   return Fd;
 }
 
-/// \returns a port that is free now.
+/// \returns a port that is free now, and none that the system gives to
+/// outgoing connections, which could take it before the daemon listens.
 inline int freePort() {
-  int Port = 0;
-  ::close(listenAt(Port));
-  return Port;
+  constexpr unsigned First = 10000;
+  constexpr unsigned Count = 10000;
+  static std::random_device Random;
+  static std::set<int> Taken;
+  for (;;) {
+    int Port = static_cast<int>(First + Random() % Count);
+    if (!Taken.insert(Port).second)
+      continue;
+    try {
+      ::close(listenAt(Port));
+      return Port;
+    } catch (const std::runtime_error &) {
+      continue;
+    }
+  }
 }
 
 /// \brief A connection with a buffer of what was received.
@@ -794,7 +809,7 @@
       }
       sleepFor(100);
     }
-    throw std::runtime_error("the daemon does not get ready");
+    throw std::runtime_error("the daemon does not get ready: " + shown(log()));
   }
   std::string log() const {
     std::ifstream In(Log);
