--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -860,19 +860,19 @@
   return {{"name", Name}, {"maxConns", 60}, {"healthPath", "/health"}};
 }
 
-/// Runs a case: main() of each case calls it. Words: the repository's root and
-/// the case's folder.
+/// Runs a case: main() of each case calls it. Words: the repository's root, the
+/// case's folder, and whether it runs with the disruption or without.
 inline int runCase(int Count, char **Words,
                    const std::function<int(const setting &)> &Body) {
-  if (Count != 3) {
-    std::fprintf(stderr, "usage: case ROOT FOLDER\n");
+  std::string Trouble = Count == 4 ? Words[3] : "";
+  if (Trouble != "with" && Trouble != "without") {
+    std::fprintf(stderr, "usage: case ROOT FOLDER with|without\n");
     return CouldNotRun;
   }
   ::signal(SIGPIPE, SIG_IGN);
   setting Setting;
   Setting.Root = Words[1];
-  const char *Trouble = std::getenv("TROUBLE");
-  Setting.Trouble = !Trouble || std::string(Trouble) != "0";
+  Setting.Trouble = Trouble == "with";
   char Temporary[] = "/tmp/review-XXXXXX";
   if (!::mkdtemp(Temporary))
     return CouldNotRun;
