An upstream's response counts only for the request whose id it has

Cause: fromForwardedResponse() took 421 and "not run" before it compared the id, so a late copy of the rejection of one request passed for that of the next.

Why this works: a response with another id says nothing and ends the connection; "not run" is believed only beside the request's id; and a request to which an upstream gave no result goes there again over another connection only, so that no copy of the first response can come where the second is awaited.

Related paths: the product's own protocol compared no id where a query failed; it does, and refusals repeat x-request-id (PROTOCOLS). Calls to the store use a connection each, checks of upstreams send no HTTP, frames between VMs carry origin and attempt.

--- a/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
@@ -8,6 +8,7 @@
 
 #include <charconv>
 #include <cstdio>
+#include <optional>
 
 using namespace masticproxy;
 
@@ -72,6 +73,17 @@
   return Response;
 }
 
+/// \returns why the upstream did not run the request, if it states that.
+std::optional<attempt_failure> statedNotRun(const http_response &Response,
+                                            const forwarding_names &Names) {
+  // An upstream that is not the expected one has not run the request.
+  if (Response.Status == StatusMisdirected)
+    return attempt_failure::Misdirected;
+  if (!findHeader(Response.Headers, Names.NotRun).empty())
+    return attempt_failure::Refused;
+  return std::nullopt;
+}
+
 http_response refusal(std::string_view RequestId, std::string_view Code,
                       std::string_view Reason,
                       std::chrono::milliseconds RetryAfter) {
@@ -183,18 +195,19 @@
   return Request;
 }
 
-std::variant<attempt_answered, attempt_failed, stray_response>
+upstream_reading
 masticproxy::fromForwardedResponse(const send_attempt &Attempt,
                                    http_response Response,
                                    const forwarding_names &Names) {
-  // An upstream that is not the expected one has not run the request.
-  if (Response.Status == StatusMisdirected)
-    return attempt_failed{Attempt.Attempt, attempt_failure::Misdirected};
-  if (!findHeader(Response.Headers, Names.NotRun).empty())
-    return attempt_failed{Attempt.Attempt, attempt_failure::Refused};
+  // First of all: a copy of an earlier response says nothing of this attempt.
   std::string_view Id = findHeader(Response.Headers, Names.RequestId);
   if (!Id.empty() && Id != Attempt.RequestId)
     return stray_response{};
+  std::optional<attempt_failure> NotRun = statedNotRun(Response, Names);
+  if (NotRun && Id.empty())
+    return attempt_failed{Attempt.Attempt, attempt_failure::Unknown};
+  if (NotRun)
+    return attempt_failed{Attempt.Attempt, *NotRun};
   attempt_answered Answer;
   Answer.Attempt = Attempt.Attempt;
   upstream_result &Result = Answer.Result;
--- a/packages/daemon/masticproxy/src/Daemon/forwarding.h
+++ b/packages/daemon/masticproxy/src/Daemon/forwarding.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPROXY_DAEMON_FORWARDING_H
 #define MASTICPROXY_DAEMON_FORWARDING_H
 
+#include "masticproxy/src/Daemon/upstream_reading.h"
 #include "masticproxy/src/Net/forwarding_names.h"
 #include "masticproxy/src/Net/http_message.h"
 #include "masticproxy/src/Query/engine_command.h"
@@ -9,7 +10,6 @@
 
 #include <chrono>
 #include <string_view>
-#include <variant>
 
 namespace masticproxy {
 
@@ -30,13 +30,10 @@
                                 std::chrono::milliseconds Remaining,
                                 const forwarding_names &Names);
 
-/// \brief The response belongs to another request of the same connection.
-struct stray_response {};
-
 /// \returns what an upstream's response to \p Attempt means.
-std::variant<attempt_answered, attempt_failed, stray_response>
-fromForwardedResponse(const send_attempt &Attempt, http_response Response,
-                      const forwarding_names &Names);
+upstream_reading fromForwardedResponse(const send_attempt &Attempt,
+                                       http_response Response,
+                                       const forwarding_names &Names);
 
 } // namespace masticproxy
 
--- a/packages/daemon/masticproxy/src/Daemon/upstream_protocol.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstream_protocol.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 /// An upstream states in `x-not-run` that it did not run the request; without
-/// it nothing may be assumed.
+/// it, or without the request's id, nothing may be assumed.
 attempt_failure failureOf(const http_response &Response) {
   std::string_view Reason = findHeader(Response.Headers, "x-not-run");
-  if (Reason.empty())
+  if (Reason.empty() || findHeader(Response.Headers, "x-request-id").empty())
     return attempt_failure::Unknown;
   if (Response.Status == StatusGone)
     return attempt_failure::SnapshotGone;
@@ -47,13 +47,16 @@
   return Request;
 }
 
-std::variant<attempt_answered, attempt_failed>
-masticproxy::fromUpstreamResponse(attempt_id Attempt, http_response Response) {
+upstream_reading masticproxy::fromUpstreamResponse(const send_attempt &Attempt,
+                                                   http_response Response) {
+  std::string_view Id = findHeader(Response.Headers, "x-request-id");
+  if (!Id.empty() && Id != Attempt.RequestId)
+    return stray_response{};
   if (Response.Status != StatusOk)
-    return attempt_failed{Attempt, failureOf(Response)};
+    return attempt_failed{Attempt.Attempt, failureOf(Response)};
   attempt_answered Answer;
-  Answer.Attempt = Attempt;
-  Answer.Result.RequestId = findHeader(Response.Headers, "x-request-id");
+  Answer.Attempt = Attempt.Attempt;
+  Answer.Result.RequestId = Id;
   Answer.Result.Snapshot = findHeader(Response.Headers, "x-snapshot");
   Answer.Result.Shard = findHeader(Response.Headers, "x-shard");
   Answer.Result.Body = std::move(Response.Body);
--- a/packages/daemon/masticproxy/src/Daemon/upstream_protocol.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstream_protocol.h
@@ -1,12 +1,11 @@
 #ifndef MASTICPROXY_DAEMON_UPSTREAM_PROTOCOL_H
 #define MASTICPROXY_DAEMON_UPSTREAM_PROTOCOL_H
 
+#include "masticproxy/src/Daemon/upstream_reading.h"
 #include "masticproxy/src/Net/http_message.h"
 #include "masticproxy/src/Query/engine_command.h"
-#include "masticproxy/src/Query/engine_event.h"
 
 #include <chrono>
-#include <variant>
 
 namespace masticproxy {
 
@@ -19,8 +18,8 @@
 http_request toCancelRequest(attempt_id Attempt);
 
 /// \returns what an upstream's response to \p Attempt means.
-std::variant<attempt_answered, attempt_failed>
-fromUpstreamResponse(attempt_id Attempt, http_response Response);
+upstream_reading fromUpstreamResponse(const send_attempt &Attempt,
+                                      http_response Response);
 
 } // namespace masticproxy
 
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -29,6 +29,9 @@
 /// several times the pause between the requests of a VM that gets few.
 constexpr std::chrono::seconds LongestUnused{5};
 
+/// HTTP statuses from here on mean that the upstream failed.
+constexpr unsigned FirstServerError = 500;
+
 } // namespace
 
 upstreams_thread::upstreams_thread(loop_thread &Loop, const clock &Clock,
@@ -67,7 +70,7 @@
   if (Remaining.count() <= 0)
     return report(attempt_failed{Attempt, attempt_failure::NotSent});
   Connections[Command.Upstream].Limit = Command.Connections;
-  connection Connection = takeConnection(Command.Upstream);
+  connection Connection = takeConnection(Command);
   if (!Connection) {
     // The share shrank after the engine had decided.
     Counters.get("upstream_share_refusals_total").add();
@@ -92,11 +95,10 @@
   // Only a spare connection carries a cancellation: a new one would go above
   // this VM's share, and the attempt's deadline ends it anyhow.
   std::string Upstream = Found->second.Command.Upstream;
-  if (Connections[Upstream].Idle.empty())
-    return;
-  connection Connection = takeConnection(Upstream);
-  if (!Connection)
+  upstream_connections &Held = Connections[Upstream];
+  if (Held.Idle.empty() || Held.Busy >= places(Upstream))
     return;
+  connection Connection = takeIdle(Held);
   Connection->exchange(toCancelRequest(Command.Attempt), CancelTimeout,
                        [this, Upstream, Connection](const exchange_result &) {
                          giveBack(Upstream, Connection);
@@ -129,6 +131,7 @@
   giveBack(Ended.Command.Upstream, std::move(Ended.Connection));
   Counters.get("upstream_connection_errors_total").add();
   reportLoss(Ended, std::get<exchange_error>(Result));
+    recordUnanswered(Ended.Command, Event);
 }
 
 void upstreams_thread::reportLoss(const open_attempt &Ended,
@@ -158,11 +161,11 @@
 
 upstream_event upstreams_thread::read(const open_attempt &Ended,
                                       http_response Response) {
-  attempt_id Attempt = Ended.Command.Attempt;
-  if (!Ended.Command.Forwarded)
-    return std::visit([](auto E) { return upstream_event(std::move(E)); },
-                      fromUpstreamResponse(Attempt, std::move(Response)));
-  auto Read = fromForwardedResponse(Ended.Command, std::move(Response), Names);
+  const send_attempt &Command = Ended.Command;
+  upstream_reading Read =
+      Command.Forwarded
+          ? fromForwardedResponse(Command, std::move(Response), Names)
+          : fromUpstreamResponse(Command, std::move(Response));
   if (auto *Answered = std::get_if<attempt_answered>(&Read))
     return std::move(*Answered);
   if (auto *Failed = std::get_if<attempt_failed>(&Read))
@@ -170,7 +173,16 @@
   // What else comes over the connection can't be told apart.
   Counters.get("upstream_stray_responses_total").add();
   Ended.Connection->close();
-  return attempt_failed{Attempt, attempt_failure::Unknown};
+  return attempt_failed{Command.Attempt, attempt_failure::Unknown};
+}
+
+void upstreams_thread::recordUnanswered(const send_attempt &Command,
+                                        const upstream_event &Event) {
+  const auto *Answered = std::get_if<attempt_answered>(&Event);
+  if (Answered && Answered->Result.Status < FirstServerError)
+    return;
+  Connections[Command.Upstream].Unanswered.add(Command.RequestId,
+                                               Command.Deadline, Clock.now());
 }
 
 void upstreams_thread::report(upstream_event Event) {
@@ -179,16 +191,21 @@
 }
 
 upstreams_thread::connection
-upstreams_thread::takeConnection(const std::string &Upstream) {
-  upstream_connections &Held = Connections[Upstream];
-  if (Held.Busy >= places(Upstream))
+upstreams_thread::takeConnection(const send_attempt &Command) {
+  upstream_connections &Held = Connections[Command.Upstream];
+  unsigned Allowed = places(Command.Upstream);
+  if (Held.Busy >= Allowed)
     return nullptr;
   ++Held.Busy;
-  if (!Held.Idle.empty())
-    return Held.Idle.take();
   Counters.get("upstream_connections_total").add();
-  return std::make_shared<http_connection>(Loop.context(), Upstream,
+  return std::make_shared<http_connection>(Loop.context(), Command.Upstream,
                                            ResponseBytes);
+  // A late copy of the response to the earlier try has the same id.
+  bool NeedsNew = Held.Unanswered.contains(Command.RequestId);
+  if (!NeedsNew && !Held.Idle.empty())
+    return takeIdle(Held);
+  if (Held.Busy + Held.Idle.size() >= Allowed)
+    Held.Idle.closeOldest();
 }
 
 void upstreams_thread::giveBack(const std::string &Upstream,
@@ -197,6 +214,12 @@
   --Held.Busy;
   if (!Connection->warm())
     return;
+upstreams_thread::connection
+upstreams_thread::takeIdle(upstream_connections &Held) {
+  ++Held.Busy;
+  return Held.Idle.take();
+}
+
   // A new connection is dear, so an idle one is kept while the share allows.
   Held.Idle.keep(std::move(Connection), Clock.now());
   closeExcess(Upstream);
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
@@ -7,6 +7,7 @@
 #include "masticproxy/src/Daemon/daemon_rings.h"
 #include "masticproxy/src/Daemon/idle_connections.h"
 #include "masticproxy/src/Daemon/loop_thread.h"
+#include "masticproxy/src/Daemon/pending_ids.h"
 #include "masticproxy/src/Net/http_connection.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -59,6 +60,9 @@
     /// Connections the upstream accepts, over all VMs.
     unsigned Limit = 0;
     time_point LastResponse;
+    /// Requests to which the upstream responded with something else than a
+    /// result; each may be sent again, over another connection only.
+    pending_ids Unanswered;
   };
 
   struct open_attempt {
@@ -77,7 +81,14 @@
   /// Says what \p Response to \p Ended means.
   upstream_event read(const open_attempt &Ended, http_response Response);
   void report(upstream_event Event);
-  connection takeConnection(const std::string &Upstream);
+  /// Remembers the request of \p Command if it may be sent again after
+  /// \p Event.
+  void recordUnanswered(const send_attempt &Command,
+                        const upstream_event &Event);
+  /// \returns a connection for \p Command, or null where none is free.
+  connection takeConnection(const send_attempt &Command);
+  /// \returns an open connection. Only where one is idle.
+  static connection takeIdle(upstream_connections &Held);
   void giveBack(const std::string &Upstream, connection Connection);
   unsigned places(const std::string &Upstream) const;
   void applyGrant();
--- a/packages/daemon/tests/daemon_protocol_test.cpp
+++ b/packages/daemon/tests/daemon_protocol_test.cpp
@@ -15,12 +15,22 @@
 
 namespace {
 
-attempt_failure failureOf(unsigned Status, std::string_view NotRun) {
+send_attempt attemptOf(std::string RequestId) {
+  send_attempt Attempt;
+  Attempt.Attempt = 1;
+  Attempt.RequestId = std::move(RequestId);
+  return Attempt;
+}
+
+attempt_failure failureOf(unsigned Status, std::string_view NotRun,
+                          std::string_view Id = "r") {
   http_response Response;
   Response.Status = Status;
+  if (!Id.empty())
+    Response.Headers.emplace_back("x-request-id", std::string(Id));
   if (!NotRun.empty())
     Response.Headers.emplace_back("x-not-run", std::string(NotRun));
-  auto Result = fromUpstreamResponse(1, std::move(Response));
+  auto Result = fromUpstreamResponse(attemptOf("r"), std::move(Response));
   return std::get<attempt_failed>(Result).Failure;
 }
 
@@ -76,6 +86,18 @@
   cr_assert(failureOf(503, "") == attempt_failure::Unknown);
 }
 
+// A late copy of an earlier rejection: the request it came for runs meanwhile.
+Test(upstream_responses, mean_not_run_only_for_the_request_that_they_name) {
+  cr_assert(failureOf(503, "overload", "") == attempt_failure::Unknown);
+  for (unsigned Status : {200, 410, 503}) {
+    http_response Response;
+    Response.Status = Status;
+    Response.Headers = {{"x-request-id", "earlier"}, {"x-not-run", "overload"}};
+    auto Result = fromUpstreamResponse(attemptOf("r"), std::move(Response));
+    cr_assert(std::holds_alternative<stray_response>(Result));
+  }
+}
+
 Test(daemon_command_line, needs_a_settings_file_unless_it_only_prints) {
   cr_assert_throw(read({}), std::invalid_argument);
   cr_assert_throw(read({"--nothing"}), std::invalid_argument);
--- a/packages/daemon/tests/forwarding_test.cpp
+++ b/packages/daemon/tests/forwarding_test.cpp
@@ -122,10 +122,27 @@
   cr_assert(std::get<attempt_answered>(Read).Result.Status == 503);
 }
 
+// A late copy of an earlier response, whatever that said: the request it is
+// taken for may be running.
 Test(forwarding, tells_the_response_to_another_request_apart) {
-  http_response Response = upstreamResponse(200);
-  Response.Headers[0].second = "id-0";
-  cr_assert(std::holds_alternative<stray_response>(read(std::move(Response))));
+  for (unsigned Status : {200, 421, 429, 500, 503}) {
+    http_response Response = upstreamResponse(Status);
+    Response.Headers[0].second = "id-0";
+    Response.Headers.emplace_back("x-not-run", "1");
+    cr_assert(
+        std::holds_alternative<stray_response>(read(std::move(Response))));
+  }
+}
+
+Test(forwarding, believes_not_run_only_beside_the_id_of_the_request) {
+  for (unsigned Status : {421, 503}) {
+    http_response Response = upstreamResponse(Status);
+    Response.Headers[0].second = "";
+    Response.Headers.emplace_back("x-not-run", "1");
+    auto Read = read(std::move(Response));
+    cr_assert(std::get<attempt_failed>(Read).Failure ==
+              attempt_failure::Unknown);
+  }
 }
 
 Test(forwarding, gives_each_outcome_its_status) {
--- /dev/null
+++ b/packages/daemon/tests/upstreams_thread_test.cpp
@@ -0,0 +1,123 @@
+/// \file
+/// Attempts over kept-alive connections to an upstream that repeats responses.
+
+#include "masticproxy/Daemon"
+#include "masticproxy/Query"
+#include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/upstreams_thread.h"
+#include "masticproxy/src/Net/forwarding_names.h"
+#include "masticproxy/src/Net/os_clock.h"
+#include "scripted_upstream.h"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+#include <string>
+
+using namespace masticproxy;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds LongEnough{5000};
+constexpr std::size_t Bytes = 1U << 20U;
+constexpr unsigned Connections = 2;
+
+/// Attempts at one upstream, one after the other.
+class attempts {
+public:
+  explicit attempts(std::string Upstream)
+      : Upstream(std::move(Upstream)),
+        Sent(Loop, Clock, Counters, Grant, Connections, Bytes, Names),
+        Ended(RequestRingCapacity, [] {}) {
+    Sent.connect(Ended);
+    Loop.start();
+  }
+  ~attempts() { Sent.stop(); }
+
+  /// \returns how the attempt for the request \p Id ended; nothing where it
+  /// had a result.
+  std::optional<attempt_failure> failureOf(const std::string &Id) {
+    send_attempt Command;
+    Command.Attempt = ++Number;
+    Command.RequestId = Id;
+    Command.Upstream = Upstream;
+    Command.Deadline = Clock.now() + LongEnough;
+    Command.Connections = Connections;
+    auto Request = std::make_shared<forwarded_request>();
+    Request->Method = "POST";
+    Request->Target = "/";
+    Request->Headers = {{"x-request-id", Id}};
+    Command.Forwarded = std::move(Request);
+    Sent.commands().push(std::move(Command));
+    std::optional<upstream_event> Event;
+    while (!Event)
+      Ended.drain([&](upstream_event E) { Event = std::move(E); });
+    const auto *Failed = std::get_if<attempt_failed>(&*Event);
+    return Failed ? std::optional(Failed->Failure) : std::nullopt;
+  }
+
+private:
+  std::string Upstream;
+  os_clock Clock;
+  counter_registry Counters;
+  published<connection_grant> Grant;
+  forwarding_names Names;
+  loop_thread Loop;
+  upstreams_thread Sent;
+  upstream_event_ring Ended;
+  attempt_id Number = 0;
+};
+
+std::string response(const std::string &Status, const std::string &Id,
+                     const std::string &Field) {
+  return "HTTP/1.1 " + Status + "\r\ncontent-length: 0\r\nx-request-id: " + Id +
+         "\r\n" + Field + ": 1\r\n\r\n";
+}
+
+std::string rejection(const std::string &Id) {
+  return response("503 Unavailable", Id, "x-not-run");
+}
+
+std::string result(const std::string &Id) {
+  return response("200 OK", Id, "x-signature");
+}
+
+} // namespace
+
+// A request that runs at an upstream was sent to another one, too, as a late
+// copy of the rejection of an earlier request passed for its response.
+Test(upstreams, take_no_late_copy_of_a_rejection_for_another_requests) {
+  scripted_upstream Upstream({rejection("a"), rejection("a") + result("b")});
+  attempts Attempts(Upstream.address());
+  cr_assert(Attempts.failureOf("a") == attempt_failure::Refused);
+  cr_assert(Attempts.failureOf("b") == attempt_failure::Unknown);
+}
+
+// The copy has the id of the second try of the same request.
+Test(upstreams, send_a_rejected_request_again_over_another_connection) {
+  scripted_upstream Upstream({rejection("a"), result("a"), result("b")});
+  attempts Attempts(Upstream.address());
+  cr_assert(Attempts.failureOf("a") == attempt_failure::Refused);
+  cr_assert(not Attempts.failureOf("a"));
+  cr_assert(Upstream.connections() == 2);
+  cr_assert(not Attempts.failureOf("b"));
+  cr_assert(Upstream.connections() == 2);
+}
+
+// A rejection costs no connection: another request may use it.
+Test(upstreams, keep_the_connection_of_a_rejected_request) {
+  scripted_upstream Upstream({rejection("a"), result("b")});
+  attempts Attempts(Upstream.address());
+  cr_assert(Attempts.failureOf("a") == attempt_failure::Refused);
+  cr_assert(not Attempts.failureOf("b"));
+  cr_assert(Upstream.connections() == 1);
+}
+
+Test(upstreams, end_a_connection_after_a_response_to_another_request) {
+  scripted_upstream Upstream({result("b"), result("c")});
+  attempts Attempts(Upstream.address());
+  cr_assert(Attempts.failureOf("a") == attempt_failure::Unknown);
+  cr_assert(not Attempts.failureOf("c"));
+  cr_assert(Upstream.connections() == 2);
+}
--- a/packages/testing/masticproxy/src/StandIns/upstream_stub.cpp
+++ b/packages/testing/masticproxy/src/StandIns/upstream_stub.cpp
@@ -16,10 +16,12 @@
 }
 
 /// A response that says truthfully that the request was not run.
-http_response notRun(unsigned Status, std::string_view Reason) {
+http_response notRun(const http_request &Request, unsigned Status,
+                     std::string_view Reason) {
   http_response Response;
   Response.Status = Status;
-  Response.Headers.emplace_back("x-not-run", std::string(Reason));
+  Response.Headers = {{"x-request-id", header(Request, "x-request-id")},
+                      {"x-not-run", std::string(Reason)}};
   return Response;
 }
 
@@ -89,15 +91,15 @@
   PeakConnections = std::max(PeakConnections, Server->connections());
   if (Shape.Draining) {
     ++QueriesWhileDraining;
-    return Respond(notRun(503, "draining"));
+    return Respond(notRun(Request, 503, "draining"));
   }
   bool Held = Shape.Snapshots.empty() ||
               Shape.Snapshots.count(header(Request, "x-snapshot")) > 0;
   if (!Held)
-    return Respond(notRun(410, "snapshot_gone"));
+    return Respond(notRun(Request, 410, "snapshot_gone"));
   if (Running.size() >= Shape.Slots && Queued.size() >= Shape.Queue) {
     ++Refused;
-    return Respond(notRun(503, "overload"));
+    return Respond(notRun(Request, 503, "overload"));
   }
   job Job;
   Job.Attempt = header(Request, "x-attempt");
@@ -119,7 +121,7 @@
   Respond(http_response{});
   if (InQueue != Queued.end()) {
     ++Cancelled;
-    InQueue->Respond(notRun(499, "cancelled"));
+    InQueue->Respond(notRun(InQueue->Request, 499, "cancelled"));
     Queued.erase(InQueue);
   } else if (InSlot != Running.end()) {
     ++Cancelled;
@@ -135,7 +137,7 @@
     job Next = std::move(Queued.front());
     Queued.pop_front();
     if (Next.Deadline <= steady_clock::now())
-      Next.Respond(notRun(503, "deadline"));
+      Next.Respond(notRun(Next.Request, 503, "deadline"));
     else
       run(std::move(Next));
   }
