All bytes that a connection holds are bounded, understood or not

Cause: what the parser has not understood yet counted nowhere: a chunk's size and extensions, a trailer. The buffer had no limit, and the losing attempt of a hedge was read on to its deadline.

A connection keeps neither its last request nor a grown buffer.

--- a/packages/config/masticproxy/src/Settings/key_spec.cpp
+++ b/packages/config/masticproxy/src/Settings/key_spec.cpp
@@ -59,6 +59,10 @@
      "Connections of callers open at a time."},
     {"callers.forward", value_kind::Boolean, "false", 0, 0, "",
      "Whether callers' requests are forwarded by the routes in force."},
+    {"limits.request_bytes", value_kind::Integer, "67108864", 65536, 4294967296,
+     "",
+     "Bytes that long bodies of requests hold at a time; where they are taken, "
+     "a request whose body is longer than 16 KiB is refused."},
     {"upstreams.all_data_centres", value_kind::Boolean, "false", 0, 0, "",
      "Whether upstreams of other data centres are spoken to directly."},
     {"upstreams.connections", value_kind::Integer, "0", 0, 65535, "",
--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -65,6 +65,8 @@
   S.Queries = static_cast<std::size_t>(Values.integer("limits.queries"));
   S.BodyBytes = static_cast<std::size_t>(Values.integer("limits.body_bytes"));
   S.ResponseBytes =
+  S.RequestBytes =
+      static_cast<std::size_t>(Values.integer("limits.request_bytes"));
       static_cast<std::size_t>(Values.integer("limits.response_bytes"));
   S.CallerConnections =
       static_cast<std::size_t>(Values.integer("limits.caller_connections"));
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -39,6 +39,7 @@
   std::size_t CallerConnections;
   bool ForwardCallers;
   bool AllDataCentres;
+  std::size_t RequestBytes;
   /// 0: this VM's share.
   unsigned UpstreamConnections;
   double RatePerConnection;
--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -42,6 +42,12 @@
   attempt_id Attempt = 0;
 };
 
+/// \brief Let an attempt whose result is not needed run on, to keep its
+/// connection, as long as that costs little.
+struct release_attempt {
+  attempt_id Attempt = 0;
+};
+
 /// \brief Send the outcome of a request to its caller.
 struct deliver_outcome {
   query_ticket Ticket = 0;
@@ -81,9 +87,10 @@
 
 /// \brief Any command that the query engine returns to be carried out.
 using engine_command =
-    std::variant<send_attempt, cancel_attempt, deliver_outcome, send_relay,
-                 cancel_relay, answer_relay, claim_wanted, claim_unused,
-                 poison_notice, suspicion_ended, drain_notice, probe_upstream>;
+    std::variant<send_attempt, cancel_attempt, release_attempt, deliver_outcome,
+                 send_relay, cancel_relay, answer_relay, claim_wanted,
+                 claim_unused, poison_notice, suspicion_ended, drain_notice,
+                 probe_upstream>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/query_engine_finish.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_finish.cpp
@@ -94,6 +94,8 @@
   if (!WasCancelled && !Record.Relayed)
     Upstreams.abandoned(
         {Record.Upstream, Record.Index, Record.Kind, Now - Record.SentAt}, Now);
+  if (!Stop && !WasCancelled && !Record.Relayed)
+    Commands.push_back(release_attempt{Attempt});
   if (!Stop || std::exchange(Record.Stopped, true))
     return;
   if (Record.Relayed)
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -77,6 +77,7 @@
 void callers_thread::start() {
   http_server_limits Limits;
   Limits.BodyBytes = Settings.BodyBytes;
+  Limits.HeldBodyBytes = Settings.RequestBytes;
   Limits.Connections = Settings.CallerConnections;
   Server = std::make_unique<http_server>(
       Loop.context(), Settings.CallersAddress, Limits,
--- a/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
@@ -57,7 +57,7 @@
 using suspicion_news = std::variant<poison_notice, suspicion_ended>;
 /// From the engine to the upstreams duty.
 using upstream_command =
-    std::variant<send_attempt, cancel_attempt, probe_upstream>;
+    std::variant<send_attempt, cancel_attempt, release_attempt, probe_upstream>;
 /// From the upstreams duty to the engine.
 using upstream_event =
     std::variant<attempt_answered, attempt_failed, upstream_probed>;
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -131,6 +131,13 @@
   Upstreams->push(Wrapped);
 }
 
+void engine_thread::carryOut(const release_attempt &Command) {
+  // One that is lost costs bytes until the attempt's deadline.
+  upstream_command Wrapped;
+  Wrapped = Command;
+  Upstreams->push(Wrapped);
+}
+
 void engine_thread::carryOut(const probe_upstream &Command) {
   // A lost probe is made up for by the next round.
   upstream_command Wrapped;
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -58,6 +58,7 @@
   void handle(engine_event Event);
   void carryOut(send_attempt Command);
   void carryOut(const cancel_attempt &Command);
+  void carryOut(const release_attempt &Command);
   void carryOut(const probe_upstream &Command);
   void carryOut(deliver_outcome Command);
   void carryOut(const send_relay &Command);
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -105,6 +105,12 @@
                        });
 }
 
+void upstreams_thread::carryOut(const release_attempt &Command) {
+  auto Found = Open.find(Command.Attempt);
+  if (Found != Open.end())
+    Found->second.Connection->release();
+}
+
 void upstreams_thread::carryOut(const probe_upstream &Command) {
   Counters.get("upstream_probes_total").add();
   std::string Upstream = Command.Upstream;
@@ -125,13 +131,13 @@
   if (auto *Response = std::get_if<http_response>(&Result)) {
     Connections[Ended.Command.Upstream].LastResponse = Clock.now();
     upstream_event Event = read(Ended, std::move(*Response));
+    recordUnanswered(Ended.Command, Event);
     giveBack(Ended.Command.Upstream, std::move(Ended.Connection));
     return report(std::move(Event));
   }
   giveBack(Ended.Command.Upstream, std::move(Ended.Connection));
   Counters.get("upstream_connection_errors_total").add();
   reportLoss(Ended, std::get<exchange_error>(Result));
-    recordUnanswered(Ended.Command, Event);
 }
 
 void upstreams_thread::reportLoss(const open_attempt &Ended,
@@ -196,30 +202,30 @@
   unsigned Allowed = places(Command.Upstream);
   if (Held.Busy >= Allowed)
     return nullptr;
-  ++Held.Busy;
-  Counters.get("upstream_connections_total").add();
-  return std::make_shared<http_connection>(Loop.context(), Command.Upstream,
-                                           ResponseBytes);
   // A late copy of the response to the earlier try has the same id.
   bool NeedsNew = Held.Unanswered.contains(Command.RequestId);
   if (!NeedsNew && !Held.Idle.empty())
     return takeIdle(Held);
   if (Held.Busy + Held.Idle.size() >= Allowed)
     Held.Idle.closeOldest();
+  ++Held.Busy;
+  Counters.get("upstream_connections_total").add();
+  return std::make_shared<http_connection>(Loop.context(), Command.Upstream,
+                                           ResponseBytes);
 }
 
-void upstreams_thread::giveBack(const std::string &Upstream,
-                                connection Connection) {
-  upstream_connections &Held = Connections[Upstream];
-  --Held.Busy;
-  if (!Connection->warm())
-    return;
 upstreams_thread::connection
 upstreams_thread::takeIdle(upstream_connections &Held) {
   ++Held.Busy;
   return Held.Idle.take();
 }
 
+void upstreams_thread::giveBack(const std::string &Upstream,
+                                connection Connection) {
+  upstream_connections &Held = Connections[Upstream];
+  --Held.Busy;
+  if (!Connection->warm())
+    return;
   // A new connection is dear, so an idle one is kept while the share allows.
   Held.Idle.keep(std::move(Connection), Clock.now());
   closeExcess(Upstream);
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
@@ -73,6 +73,7 @@
 
   void carryOut(const send_attempt &Command);
   void carryOut(const cancel_attempt &Command);
+  void carryOut(const release_attempt &Command);
   void carryOut(const probe_upstream &Command);
   void finish(attempt_id Attempt, exchange_result Result);
   /// Reports an attempt that ended without a response, once it is known
--- a/packages/net/masticproxy/src/Net/http_connection.cpp
+++ b/packages/net/masticproxy/src/Net/http_connection.cpp
@@ -29,9 +29,13 @@
 /// and less than it takes for a lost opening packet to be sent again.
 constexpr std::chrono::milliseconds ConnectTimeout{300};
 
-/// Bytes of a response's body that no budget counts, so that what most
-/// responses need is always there.
-constexpr std::size_t FreeBodyBytes = 64U << 10U;
+/// Bytes of a response that no budget counts, so that what most responses need
+/// is always there.
+constexpr std::size_t FreeBytes = 64U << 10U;
+
+/// Most bytes read and not yet understood: more than a header or a chunk's may
+/// have. Chunk extensions and trailers have no other limit.
+constexpr std::size_t MaxBufferedBytes = 32U << 10U;
 
 /// Read at first; most responses of one shard are shorter.
 constexpr std::size_t FirstReadBytes = 4096;
@@ -55,6 +59,7 @@
     // The response to HEAD states a length and has no body.
     Parser->skip(Request.method() == http::verb::head);
     Deadline = std::chrono::steady_clock::now() + Timeout;
+    Released = false;
     if (usable()) {
       expireAt(Deadline);
       return write();
@@ -153,19 +158,27 @@
     readRest();
   }
 
-  /// Takes what the body read so far needs from the budget. \returns whether it
-  /// was there.
+  /// Takes what was read so far from the budget. \returns whether it was there.
   bool holdBytes() {
-    std::size_t Needed = Parser->get().body().capacity();
-    if (!Budget || Needed <= FreeBodyBytes + HeldBytes)
+    std::size_t Needed = Parser->get().body().capacity() + Buffer.capacity();
+    if (Needed <= FreeBytes + HeldBytes)
       return true;
-    std::size_t More = Needed - FreeBodyBytes - HeldBytes;
-    if (!Budget->take(More))
+    // A connection is not worth the bytes that others need.
+    if (Released)
+      return false;
+    std::size_t More = Needed - FreeBytes - HeldBytes;
+    if (Budget && !Budget->take(More))
       return false;
     HeldBytes += More;
     return true;
   }
 
+  void release() {
+    Released = true;
+    if (HeldBytes > 0)
+      close();
+  }
+
   void releaseBytes() {
     if (Budget)
       Budget->giveBack(std::exchange(HeldBytes, 0));
@@ -193,9 +206,15 @@
 
   void finish(exchange_result Result) {
     Timer.cancel();
-    // A body that failed must not stay until the next exchange.
+    // Nothing of this exchange stays until the next one.
     if (std::holds_alternative<exchange_error>(Result))
       Parser.reset();
+    Serializer.reset();
+    Request = {};
+    if (Buffer.capacity() > FirstReadBytes) {
+      Buffer.clear();
+      Buffer.shrink_to_fit();
+    }
     releaseBytes();
     if (auto Callback = std::exchange(Done, nullptr))
       Callback(std::move(Result));
@@ -239,7 +258,7 @@
   tcp::endpoint Endpoint;
   std::shared_ptr<byte_budget> Budget;
   std::size_t HeldBytes = 0;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxBufferedBytes};
   internal::beast_request Request;
   std::optional<http::request_serializer<http::string_body>> Serializer;
   std::optional<http::response_parser<http::string_body>> Parser;
@@ -247,6 +266,8 @@
   std::chrono::steady_clock::time_point Deadline;
   bool Open = false;
   bool TimedOut = false;
+  /// Nobody waits for the response.
+  bool Released = false;
   /// Of closing, which leaves no connection whatever it says.
   boost::system::error_code Ignored;
 };
@@ -265,6 +286,8 @@
   State->start(std::move(Request), Timeout);
 }
 
+void http_connection::release() { State->release(); }
+
 bool http_connection::warm() const { return State->Open; }
 
 void http_connection::close() { State->close(); }
--- a/packages/net/masticproxy/src/Net/http_connection.h
+++ b/packages/net/masticproxy/src/Net/http_connection.h
@@ -36,8 +36,8 @@
 /// time.
 class http_connection {
 public:
-  /// Responses that are longer than most take their bytes from \p Budget, if
-  /// there is one, and fail where it has too few.
+  /// Responses that hold more bytes than most, read or waiting to be, take them
+  /// from \p Budget, if there is one, and fail where it has too few.
   http_connection(boost::asio::io_context &Context, std::string_view Address,
                   std::shared_ptr<byte_budget> Budget = nullptr);
   ~http_connection();
@@ -49,6 +49,10 @@
   void exchange(http_request Request, std::chrono::milliseconds Timeout,
                 std::function<void(exchange_result)> Done);
 
+  /// Lets the exchange under way, whose response nobody needs, go on only as
+  /// long as that takes nothing from the budget.
+  void release();
+
   /// \returns whether a connection is open, so that the next exchange needs no
   /// set-up.
   bool warm() const;
--- a/packages/net/masticproxy/src/Net/http_request_parser.cpp
+++ b/packages/net/masticproxy/src/Net/http_request_parser.cpp
@@ -31,6 +31,13 @@
                    "the header did not come in time");
 }
 
+http_response internal::bodiesTooLarge() {
+  http_response Response =
+      rejection(StatusUnavailable, "not_run", "too many long requests at once");
+  Response.Headers.emplace_back("retry-after", "1");
+  return Response;
+}
+
 std::optional<http_response>
 internal::rejectionOf(const boost::system::error_code &Error) {
   if (Error == http::error::body_limit)
--- a/packages/net/masticproxy/src/Net/http_request_parser.h
+++ b/packages/net/masticproxy/src/Net/http_request_parser.h
@@ -22,6 +22,9 @@
 /// \returns the response to a header that took too long.
 std::optional<http_response> lateHeader();
 
+/// \returns the response to a request for whose body there is no room now.
+http_response bodiesTooLarge();
+
 /// \returns the response to bytes that are no request or one above the limits;
 /// nothing where \p Error means that the connection ended.
 std::optional<http_response>
--- a/packages/net/masticproxy/src/Net/http_server.cpp
+++ b/packages/net/masticproxy/src/Net/http_server.cpp
@@ -13,8 +13,8 @@
 struct http_server::state : std::enable_shared_from_this<state> {
   state(boost::asio::io_context &Context, http_server_limits Limits,
         handler Handler)
-      : Acceptor(Context), Rules(std::make_shared<internal::session_rules>()) {
-    Rules->Limits = Limits;
+      : Acceptor(Context),
+        Rules(std::make_shared<internal::session_rules>(Limits)) {
     Rules->Handler = std::move(Handler);
   }
 
--- a/packages/net/masticproxy/src/Net/http_server.h
+++ b/packages/net/masticproxy/src/Net/http_server.h
@@ -19,6 +19,9 @@
   /// Longest header and longest body of a request, in bytes.
   std::size_t HeaderBytes = 16384;
   std::size_t BodyBytes = 65536;
+  /// Bytes that long bodies hold together, from their arrival to the response;
+  /// where they are taken, a further request is refused. Fixed.
+  std::size_t HeldBodyBytes = 64U << 20U;
   /// Connections open at a time; one more is closed at once.
   std::size_t Connections = 4096;
   /// Silence after which a connection is closed.
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -21,6 +21,14 @@
 /// Read at first; headers are shorter, and each connection keeps so much.
 constexpr std::size_t FirstReadBytes = 4096;
 
+/// Most bytes read and not yet understood, besides a header: a chunk's size and
+/// extensions, or a trailer, which have no other limit. At least a
+/// RejectedChunkBytes.
+constexpr std::size_t MaxBufferedBytes = 64U << 10U;
+
+/// Bytes of a body that no budget counts: most bodies are shorter.
+constexpr std::size_t FreeBodyBytes = 16U << 10U;
+
 } // namespace
 
 http_session::http_session(boost::asio::ip::tcp::socket Socket,
@@ -30,7 +38,7 @@
   setTcpOptions(Stream.socket());
 }
 
-http_session::~http_session() = default;
+http_session::~http_session() { releaseBytes(); }
 
 void http_session::start() {
   if (Rules->Limits.SetupDelay.count() == 0)
@@ -60,6 +68,7 @@
   Parser.emplace();
   setLimits(*Parser, Rules->Limits.HeaderBytes, Rules->Limits.BodyBytes);
   HeaderLate = false;
+  Buffer.max_size(Rules->Limits.HeaderBytes + MaxBufferedBytes);
   // A caller may send its next request early.
   if (Buffer.size() > 0)
     return parseBuffered();
@@ -110,19 +119,43 @@
 }
 
 void http_session::readBody() {
+  if (!holdBytes())
+    return reject(bodiesTooLarge());
   Stream.expires_after(Rules->Limits.IdleTimeout);
-  http::async_read(
+  http::async_read_some(
       Stream, Buffer, *Parser,
       [Self = shared_from_this()](const boost::system::error_code &Error,
-                                  std::size_t) { Self->onRead(Error); });
+                                  std::size_t) {
+        if (Error || Self->Parser->is_done())
+          return Self->onRead(Error);
+        Self->readBody();
+      });
+}
+
+bool http_session::holdBytes() {
+  std::size_t Needed = Parser->get().body().capacity();
+  if (Needed <= FreeBodyBytes + HeldBytes)
+    return true;
+  std::size_t More = Needed - FreeBodyBytes - HeldBytes;
+  if (!Rules->Bodies.take(More))
+    return false;
+  HeldBytes += More;
+  return true;
+}
+
+void http_session::releaseBytes() {
+  Rules->Bodies.giveBack(std::exchange(HeldBytes, 0));
+}
+
+void http_session::reject(http_response Rejection) {
+  Rejected = true;
+  respond(std::move(Rejection));
 }
 
 void http_session::onRead(const boost::system::error_code &Error) {
   auto Rejection = HeaderLate ? lateHeader() : rejectionOf(Error);
-  if (Rejection) {
-    Rejected = true;
-    return respond(std::move(*Rejection));
-  }
+  if (Rejection)
+    return reject(std::move(*Rejection));
   if (Error)
     return close();
   Busy = true;
@@ -168,6 +201,7 @@
                     [Self = shared_from_this()](
                         const boost::system::error_code &Error, std::size_t) {
                       Self->Busy = false;
+                      Self->releaseBytes();
                       if (!Error && Self->Rejected)
                         return Self->readOutRejected();
                       // Not by Closing: a response that promised to keep the
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -43,6 +43,12 @@
   /// Finds out when the caller leaves before it has its response.
   void watchCaller();
   bool callerLeft();
+  /// Takes the bytes of the body read so far from the budget of the server.
+  /// \returns whether they were there.
+  bool holdBytes();
+  void releaseBytes();
+  /// Answers with \p Rejection, and ends the connection.
+  void reject(http_response Rejection);
   void respond(http_response Response);
   void readOutRejected();
   void discard(std::size_t Already);
@@ -64,6 +70,8 @@
   /// A wait of watchCaller() is under way.
   bool Watching = false;
   std::uint64_t Serial = 0;
+  /// Taken from the budget of the server.
+  std::size_t HeldBytes = 0;
 };
 
 } // namespace masticproxy::internal
--- a/packages/net/tests/http_answer_test.cpp
+++ b/packages/net/tests/http_answer_test.cpp
@@ -138,6 +138,81 @@
   }
 }
 
+// Guards against: what is read and not yet understood takes more memory than
+// the process has, as chunk headers and trailers have no limit of their own.
+Test(answers, ends_an_answer_without_end_in_each_part_of_its_grammar) {
+  constexpr unsigned Calls = 12;
+  const std::string Line = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Line + "transfer-encoding: chunked\r\n\r\n";
+  const struct {
+    std::string Start;
+    std::string Then;
+  } Parts[] = {{"HTTP/1.1 200 ", std::string(4096, 'o')},
+               {Line, std::string(4096, 'n')},
+               {Line + "x: ", std::string(4096, 'v')},
+               {Chunked, std::string(4096, '0')},
+               {Chunked + "5;", std::string(4096, 'e')},
+               {Chunked + "5;e=\"", std::string(4096, 'q')},
+               {Chunked + "0\r\n", std::string(4096, 't')},
+               {Chunked + "0\r\nx: ", std::string(4096, 't')},
+               {Chunked + "0\r\n", "x: y\r\n"}};
+  for (const auto &Part : Parts) {
+    endless_server Server(Part.Start, Part.Then);
+    boost::asio::io_context Context;
+    std::vector<std::unique_ptr<http_connection>> Connections;
+    unsigned Ended = 0;
+    for (unsigned I = 0; I < Calls; ++I) {
+      Connections.push_back(
+          std::make_unique<http_connection>(Context, Server.address()));
+      Connections.back()->exchange(
+          {}, LongEnough, [&](const exchange_result &Result) {
+            auto *Error = std::get_if<exchange_error>(&Result);
+            Ended += Error && not Error->TimedOut ? 1 : 0;
+          });
+    }
+    Context.run();
+    cr_assert(Ended == Calls, "%u of %u ended after %s", Ended, Calls,
+              Part.Start.c_str());
+  }
+}
+
+// Guards against: an answer that nobody waits for takes the bytes of others.
+Test(answers, ends_a_long_answer_that_nobody_waits_for) {
+  endless_server Server("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
+                        std::string(4096, 'x'));
+  for (bool AtOnce : {true, false}) {
+    boost::asio::io_context Context;
+    auto Bytes = std::make_shared<byte_budget>(1U << 30U);
+    http_connection Connection(Context, Server.address(), Bytes);
+    bool Ended = false;
+    Connection.exchange({}, LongEnough, [&](const exchange_result &Result) {
+      auto *Error = std::get_if<exchange_error>(&Result);
+      Ended = Error && not Error->TimedOut;
+    });
+    while (not AtOnce && Bytes->taken() == 0)
+      Context.run_one();
+    Connection.release();
+    std::size_t Taken = Bytes->taken();
+    Context.run();
+    cr_assert(Ended);
+    cr_assert(AtOnce ? Taken == 0 : Taken > 0);
+    cr_assert(Bytes->taken() == 0);
+  }
+}
+
+Test(answers, keeps_the_connection_of_a_short_answer_that_nobody_waits_for) {
+  endless_server Server("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", "");
+  boost::asio::io_context Context;
+  http_connection Connection(Context, Server.address());
+  bool Answered = false;
+  Connection.exchange({}, LongEnough, [&](const exchange_result &Result) {
+    Answered = std::holds_alternative<http_response>(Result);
+  });
+  Connection.release();
+  Context.run();
+  cr_assert(Answered && Connection.warm());
+}
+
 Test(answers, gives_a_long_response_within_its_budget) {
   std::string Body(1U << 20U, 'b');
   endless_server Server("HTTP/1.1 200 OK\r\ncontent-length: " +
