A held watch is checked, as its answer may be lost

Cause: a connection on which the store's answer was lost stays open and silent. One probe, 300 ms after a watch began, showed that the store had got it; nothing showed that its answer had not been lost later.

Why this works: while a watch is held, a watch that is answered at once asks for changes, soon enough for them to be in force within platform.lost_answer_within (the users' stable window). Its news stand for the held answer. The store's revision counts changes of all kinds, so that in calm one check serves configuration, registrations and suspicions; where the bound leaves room for the lag of copies it goes to a copy. A check without an answer ends the watch.

--- a/packages/config/masticproxy/src/Settings/node_settings.cpp
+++ b/packages/config/masticproxy/src/Settings/node_settings.cpp
@@ -58,15 +58,16 @@
   S.ConfigurationWithin = Values.span("platform.configuration_within");
   S.RegistrationsWithin = Values.span("platform.registrations_within");
   S.SuspicionsWithin = Values.span("platform.suspicions_within");
+  S.LostAnswerWithin = Values.span("platform.lost_answer_within");
   S.PeersExchange = Values.flag("peers.exchange");
   S.HeartbeatInterval = Values.span("peers.heartbeat_interval");
   S.SuspectAfter = Values.span("peers.suspect_after");
   S.DeadAfter = Values.span("peers.dead_after");
   S.Queries = static_cast<std::size_t>(Values.integer("limits.queries"));
   S.BodyBytes = static_cast<std::size_t>(Values.integer("limits.body_bytes"));
-  S.ResponseBytes =
   S.RequestBytes =
       static_cast<std::size_t>(Values.integer("limits.request_bytes"));
+  S.ResponseBytes =
       static_cast<std::size_t>(Values.integer("limits.response_bytes"));
   S.CallerConnections =
       static_cast<std::size_t>(Values.integer("limits.caller_connections"));
--- a/packages/config/masticproxy/src/Settings/node_settings.h
+++ b/packages/config/masticproxy/src/Settings/node_settings.h
@@ -29,6 +29,9 @@
   /// Time in which a registration has to be in force here.
   std::chrono::milliseconds RegistrationsWithin;
   std::chrono::milliseconds SuspicionsWithin;
+  /// Time in which a change has to be in force here although the answer that
+  /// told it was lost.
+  std::chrono::milliseconds LostAnswerWithin;
   bool PeersExchange;
   std::chrono::milliseconds HeartbeatInterval;
   std::chrono::milliseconds SuspectAfter;
@@ -36,10 +39,10 @@
   std::size_t Queries;
   std::size_t BodyBytes;
   std::size_t ResponseBytes;
+  std::size_t RequestBytes;
   std::size_t CallerConnections;
   bool ForwardCallers;
   bool AllDataCentres;
-  std::size_t RequestBytes;
   /// 0: this VM's share.
   unsigned UpstreamConnections;
   double RatePerConnection;
--- a/packages/core/masticproxy/src/Discovery/read_freshness.h
+++ b/packages/core/masticproxy/src/Discovery/read_freshness.h
@@ -13,6 +13,9 @@
   MayLag,
 };
 
+/// \returns how far an answer from a source may lag.
+duration longestLag(read_freshness Freshness);
+
 /// \returns how changes may be watched that have to be in force \p Within that
 /// time of their acknowledgement.
 read_freshness watchFreshness(duration Within);
--- a/packages/daemon/masticproxy/src/Daemon/discovery_plan.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_plan.h
@@ -18,6 +18,8 @@
   std::chrono::milliseconds WatchWait;
   /// Time from its acknowledgement in which a change has to be in force.
   std::chrono::milliseconds Within;
+  /// The same where the answer that told the change was lost.
+  std::chrono::milliseconds CheckedWithin;
   /// Source of the lists after the first one.
   read_freshness ListFreshness = read_freshness::Newest;
   /// Pause after a call that failed; it doubles with each further one.
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -44,11 +44,15 @@
                                    const platform_caller &Platform,
                                    const object_codec &Codec,
                                    counter_registry &Counters,
+                                   known_revision &Revision,
                                    discovery_ring &Control)
     : Plan(std::move(NewPlan)), Clock(Clock),
+      Check(Clock, Revision, checksFor(Plan.CheckedWithin)),
       Feed(Platform, Codec, watchFreshness(Plan.Within), Plan.ListFreshness),
       Counters(Counters), Control(Control),
-      Backoff(Plan.FirstPause, LongestPause) {}
+      Backoff(Plan.FirstPause, LongestPause) {
+  Feed.checkWatches(Check);
+}
 
 discovery_thread::~discovery_thread() { stop(); }
 
@@ -84,7 +88,10 @@
 void discovery_thread::step() {
   Counters.get("platform_calls_total", "kind=\"" + Plan.Kind + "\"").add();
   time_point Called = Clock.now();
+  std::uint64_t Checked = Feed.checks();
   feed_result Result = Feed.next(Plan.WatchWait);
+  Counters.get("platform_checks_total", "kind=\"" + Plan.Kind + "\"")
+      .add(static_cast<std::int64_t>(Feed.checks() - Checked));
   if (auto *Failure = std::get_if<platform_unavailable>(&Result)) {
     // A watch may have waited for long before the platform was lost.
     FailedAt = std::max(Called, Clock.now() - Plan.CallTimeout);
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.h
@@ -5,6 +5,7 @@
 #include "masticproxy/src/Daemon/daemon_rings.h"
 #include "masticproxy/src/Daemon/discovery_plan.h"
 #include "masticproxy/src/Net/object_feed.h"
+#include "masticproxy/src/Net/watch_check.h"
 
 #include <atomic>
 #include <chrono>
@@ -18,14 +19,18 @@
 namespace masticproxy {
 
 class counter_registry;
+class known_revision;
 
 /// \brief Follows one kind of the platform's objects, and tells control what
 /// they say.
 class discovery_thread {
 public:
+  /// What the watches' checks find out of the platform is shared in
+  /// \p Revision.
   discovery_thread(discovery_plan Plan, const clock &Clock,
                    const platform_caller &Platform, const object_codec &Codec,
-                   counter_registry &Counters, discovery_ring &Control);
+                   counter_registry &Counters, known_revision &Revision,
+                   discovery_ring &Control);
   ~discovery_thread();
 
   /// Lets \p NewLeader find the end of an outage: while it reaches the platform
@@ -63,6 +68,7 @@
 
   discovery_plan Plan;
   const clock &Clock;
+  watch_check Check;
   object_feed Feed;
   counter_registry &Counters;
   discovery_ring &Control;
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -17,6 +17,7 @@
 #include "masticproxy/src/Daemon/upstreams_thread.h"
 #include "masticproxy/src/Net/event_log.h"
 #include "masticproxy/src/Net/http_platform.h"
+#include "masticproxy/src/Net/known_revision.h"
 #include "masticproxy/src/Net/os_clock.h"
 #include "masticproxy/src/Platform/configuration_codec.h"
 #include "masticproxy/src/Platform/header_names.h"
@@ -33,6 +34,10 @@
 
 constexpr std::chrono::milliseconds FinishPoll{10};
 
+/// Between the checks of two kinds of objects, so that the first one can make
+/// the others needless.
+constexpr std::chrono::milliseconds CheckStagger{100};
+
 /// Time for the responses to requests that were cut short to be sent.
 constexpr std::chrono::milliseconds LastResponses{300};
 
@@ -83,6 +88,7 @@
   return {.Kind = "suspicions",
           .WatchWait = Settings.PlatformWatchWait,
           .Within = Settings.SuspicionsWithin,
+          .CheckedWithin = Settings.LostAnswerWithin,
           .ListFreshness = read_freshness::MayLag,
           .FirstPause = FirstPause};
 }
@@ -118,20 +124,24 @@
         Configurations(ControlRingCapacity, [this] { wakeControl(); }),
         Registrations(ControlRingCapacity, [this] { wakeControl(); }),
         Suspicions(ControlRingCapacity, [this] { wakeControl(); }),
-        ConfigurationDuty({.Kind = "configuration",
-                           .WatchWait = Settings.PlatformWatchWait,
-                           .Within = Settings.ConfigurationWithin},
-                          Clock, StoreCaller, ConfigurationCodec, Counters,
-                          Configurations),
-        RegistrationDuty({.Kind = "registrations",
-                          .WatchWait = Settings.PlatformWatchWait,
-                          .Within = Settings.RegistrationsWithin,
-                          .CallTimeout = Settings.PlatformCallTimeout,
-                          .OnOutage = registrations_outdated{}},
-                         Clock, StoreCaller, UpstreamCodec, Counters,
-                         Registrations),
+        ConfigurationDuty(
+            {.Kind = "configuration",
+             .WatchWait = Settings.PlatformWatchWait,
+             .Within = Settings.ConfigurationWithin,
+             .CheckedWithin = Settings.LostAnswerWithin - 2 * CheckStagger},
+            Clock, StoreCaller, ConfigurationCodec, Counters, StoreRevision,
+            Configurations),
+        RegistrationDuty(
+            {.Kind = "registrations",
+             .WatchWait = Settings.PlatformWatchWait,
+             .Within = Settings.RegistrationsWithin,
+             .CheckedWithin = Settings.LostAnswerWithin - CheckStagger,
+             .CallTimeout = Settings.PlatformCallTimeout,
+             .OnOutage = registrations_outdated{}},
+            Clock, StoreCaller, UpstreamCodec, Counters, StoreRevision,
+            Registrations),
         SuspicionDuty(suspicionPlan(Settings), Clock, StoreCaller,
-                      SuspicionCodec, Counters, Suspicions),
+                      SuspicionCodec, Counters, StoreRevision, Suspicions),
         Links{Settings,
               Clock,
               Counters,
@@ -201,6 +211,7 @@
   std::stop_source PlatformStop;
   forwarding_names Names;
   platform_caller StoreCaller;
+  known_revision StoreRevision;
   platform::configuration_codec ConfigurationCodec;
   platform::upstream_codec UpstreamCodec;
   platform::suspicion_codec SuspicionCodec{Clock};
--- a/packages/net/masticproxy/src/Net/held_call.cpp
+++ b/packages/net/masticproxy/src/Net/held_call.cpp
@@ -5,31 +5,96 @@
 
 using namespace masticproxy;
 
-// One probe is enough: what the other end got while it answers is answered
-// later, also if it is silent in between.
+namespace {
+
+/// Pause after a check that was refused, and so is still due.
+constexpr std::chrono::milliseconds RefusedCheckPause{1000};
+
+/// One held call, from its start to its end.
+class held_call {
+public:
+  held_call(std::string_view Address, call_probe Probe, const call_check &Check)
+      : Held(Context, Address), Probing(Context, Address), Timer(Context),
+        Probe(std::move(Probe)), Check(Check) {}
+
+  exchange_result run(http_request Request, std::chrono::milliseconds Timeout,
+                      const std::stop_token &Stop) {
+    Held.exchange(std::move(Request), Timeout,
+                  [this](exchange_result R) { end(std::move(R)); });
+    at(std::chrono::steady_clock::now() + Probe.After, [this] { probe(); });
+    std::stop_callback OnStop(Stop, [this] { Context.stop(); });
+    Context.run();
+    return std::move(Result);
+  }
+
+private:
+  void end(exchange_result R) {
+    Result = std::move(R);
+    Context.stop();
+  }
+
+  template <typename Action> void at(time_point Time, Action Do) {
+    Timer.expires_at(Time);
+    Timer.async_wait([Do](const boost::system::error_code &Error) {
+      if (!Error)
+        Do();
+    });
+  }
+
+  /// Sends \p Request, and hands its answer to \p Read.
+  template <typename Reader> void ask(http_request Request, Reader Read) {
+    Probing.exchange(std::move(Request), Probe.Timeout,
+                     [this, Read](exchange_result Answer) {
+                       if (auto *Response = std::get_if<http_response>(&Answer))
+                         return Read(std::move(*Response));
+                       end(exchange_error{true, "silent when it was called"});
+                     });
+  }
+
+  // What the other end got while it answers is answered later, also if it is
+  // silent in between: one probe shows that it got the call.
+  void probe() {
+    ask(std::move(Probe.Request),
+        [this](const http_response &) { awaitCheck(); });
+  }
+
+  // An answer that is lost on its way gives no sign: only further requests show
+  // that it should have come.
+  void awaitCheck() {
+    if (Check.Due)
+      at(Check.Due(), [this] { check(); });
+  }
+
+  void check() {
+    time_point Now = std::chrono::steady_clock::now();
+    // It may have been put off meanwhile.
+    if (Check.Due() > Now)
+      return awaitCheck();
+    ask(Check.Request(), [this, Now](http_response Response) {
+      if (Check.HasNews(Response, Now))
+        return end(std::move(Response));
+      if (Check.Due() > Now)
+        return awaitCheck();
+      at(Now + RefusedCheckPause, [this] { check(); });
+    });
+  }
+
+  exchange_result Result = exchange_error{true, "stopped"};
+  boost::asio::io_context Context;
+  http_connection Held;
+  http_connection Probing;
+  boost::asio::steady_timer Timer;
+  call_probe Probe;
+  const call_check &Check;
+};
+
+} // namespace
+
 exchange_result masticproxy::heldCall(std::string_view Address,
                                       http_request Request,
                                       std::chrono::milliseconds Timeout,
-                                      call_probe Probe,
+                                      call_probe Probe, const call_check &Check,
                                       const std::stop_token &Stop) {
-  exchange_result Result = exchange_error{true, "stopped"};
-  boost::asio::io_context Context;
-  http_connection Held(Context, Address);
-  http_connection Probing(Context, Address);
-  auto End = [&](exchange_result R) {
-    Result = std::move(R);
-    Context.stop();
-  };
-  Held.exchange(std::move(Request), Timeout, End);
-  boost::asio::steady_timer Timer(Context, Probe.After);
-  Timer.async_wait([&](const boost::system::error_code &) {
-    Probing.exchange(std::move(Probe.Request), Probe.Timeout,
-                     [&](const exchange_result &Answer) {
-                       if (std::holds_alternative<exchange_error>(Answer))
-                         End(exchange_error{true, "silent when it was called"});
-                     });
-  });
-  std::stop_callback OnStop(Stop, [&Context] { Context.stop(); });
-  Context.run();
-  return Result;
+  return held_call(Address, std::move(Probe), Check)
+      .run(std::move(Request), Timeout, Stop);
 }
--- a/packages/net/masticproxy/src/Net/object_feed.cpp
+++ b/packages/net/masticproxy/src/Net/object_feed.cpp
@@ -1,6 +1,8 @@
 #include "masticproxy/src/Net/object_feed.h"
 
+#include "masticproxy/src/Net/call_check.h"
 #include "masticproxy/src/Net/platform_caller.h"
+#include "masticproxy/src/Net/watch_check.h"
 
 #include <algorithm>
 #include <iterator>
@@ -10,7 +12,7 @@
 namespace {
 
 /// Wait of a watch that is answered at once: the least that a platform takes.
-constexpr std::chrono::milliseconds ProbeWait{1};
+constexpr std::chrono::milliseconds NoWait{1};
 
 } // namespace
 
@@ -37,6 +39,7 @@
   std::string Continue;
   feed_news News;
   Pages = 0;
+  time_point SentAt = Check ? Check->now() : time_point{};
   do {
     ++Pages;
     auto Answer = Platform.call(Codec.listRequest(Continue, Source));
@@ -59,13 +62,16 @@
   News.Listed = true;
   Revision = Oldest;
   Listed = true;
+  if (Check)
+    Check->onNews(News.Revision, SentAt - longestLag(Source));
   return News;
 }
 
 feed_result object_feed::watch(std::chrono::milliseconds Wait) {
   auto Answer = Platform.hold(
       Codec.watchRequest(*Revision, Wait, Freshness), Wait,
-      Codec.watchRequest(*Revision, ProbeWait, read_freshness::MayLag));
+      Codec.watchRequest(*Revision, NoWait, read_freshness::MayLag),
+      watchChecks());
   if (auto *Failure = std::get_if<platform_unavailable>(&Answer))
     return *Failure;
   auto Read = Codec.readChanges(std::get<http_response>(Answer));
@@ -86,6 +92,8 @@
     std::move(Events.begin(), Events.end(), std::back_inserter(News.Events));
   }
   News.Revision = std::max(*Revision, Changes.Revision);
+  if (Check && !Changes.Objects.empty())
+    Check->onNews(News.Revision, Check->now() - longestLag(Freshness));
   // For the same reason a watch without news is no proof that there are none:
   // where a list costs no more than a watch, it comes next, and elsewhere the
   // next watch goes back to the last news.
@@ -95,3 +103,32 @@
     Revision.reset();
   return News;
 }
+
+call_check object_feed::watchChecks() {
+  if (!Check)
+    return {};
+  call_check Checks;
+  Checks.Due = [this] { return Check->due(); };
+  Checks.Request = [this] {
+    ++this->Checks;
+    return Codec.watchRequest(*Revision, NoWait, Check->freshness());
+  };
+  Checks.HasNews = [this](const http_response &Answer, time_point SentAt) {
+    return hasNews(Answer, SentAt);
+  };
+  return Checks;
+}
+
+bool object_feed::hasNews(const http_response &Answer, time_point SentAt) {
+  auto Read = Codec.readChanges(Answer);
+  if (std::holds_alternative<history_gone>(Read))
+    return true;
+  const auto *Changes = std::get_if<platform_changes>(&Read);
+  // One that was refused says nothing; the next one comes soon.
+  if (!Changes)
+    return false;
+  if (!Changes->Objects.empty() || !Changes->Problems.empty())
+    return true;
+  Check->onNoNews(Changes->Revision, SentAt);
+  return false;
+}
--- a/packages/net/masticproxy/src/Net/object_feed.h
+++ b/packages/net/masticproxy/src/Net/object_feed.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPROXY_NET_OBJECT_FEED_H
 #define MASTICPROXY_NET_OBJECT_FEED_H
 
+#include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Net/object_codec.h"
 
 #include <chrono>
@@ -13,6 +14,8 @@
 namespace masticproxy {
 
 class platform_caller;
+class watch_check;
+struct call_check;
 
 /// \brief What one step of an object_feed brought.
 struct feed_news {
@@ -39,6 +42,12 @@
       : Platform(Platform), Codec(Codec), Freshness(Freshness),
         ListFreshness(ListFreshness) {}
 
+  /// Lets watches be checked from here on.
+  void checkWatches(watch_check &NewCheck) { Check = &NewCheck; }
+
+  /// \returns how many checks were made so far.
+  std::uint64_t checks() const { return Checks; }
+
   /// Waits up to \p Wait for news. \returns them, or why there are none.
   feed_result next(std::chrono::milliseconds Wait);
 
@@ -48,6 +57,12 @@
   /// one.
   read_freshness listSource() const;
   feed_result watch(std::chrono::milliseconds Wait);
+  /// \returns the checks of a watch from here on; none unless checkWatches()
+  /// was called.
+  call_check watchChecks();
+  /// \returns whether the answer to a check that was sent at \p SentAt has
+  /// news.
+  bool hasNews(const http_response &Answer, time_point SentAt);
 
   const platform_caller &Platform;
   const object_codec &Codec;
@@ -59,6 +74,8 @@
   std::optional<std::uint64_t> Revision;
   /// Pages of the newest list.
   unsigned Pages = 0;
+  watch_check *Check = nullptr;
+  std::uint64_t Checks = 0;
 };
 
 } // namespace masticproxy
--- a/packages/net/masticproxy/src/Net/platform_caller.cpp
+++ b/packages/net/masticproxy/src/Net/platform_caller.cpp
@@ -30,7 +30,8 @@
 
 std::variant<http_response, platform_unavailable>
 platform_caller::hold(http_request Request, std::chrono::milliseconds Wait,
-                      http_request Probe) const {
+                      http_request Probe, const call_check &Check) const {
   return toAnswer(heldCall(Address, std::move(Request), Wait + CallTimeout,
-                           {std::move(Probe), ProbeAfter, CallTimeout}, Stop));
+                           {std::move(Probe), ProbeAfter, CallTimeout}, Check,
+                           Stop));
 }
--- a/packages/net/masticproxy/src/Net/platform_caller.h
+++ b/packages/net/masticproxy/src/Net/platform_caller.h
@@ -1,6 +1,7 @@
 #ifndef MASTICPROXY_NET_PLATFORM_CALLER_H
 #define MASTICPROXY_NET_PLATFORM_CALLER_H
 
+#include "masticproxy/src/Net/call_check.h"
 #include "masticproxy/src/Net/http_message.h"
 #include "masticproxy/src/Net/platform_api.h"
 
@@ -30,10 +31,11 @@
 
   /// As call(); where the answer is held back \p Probe is sent too, for which
   /// any answer will do. A platform that gives none is silent, and may never
-  /// answer what it got meanwhile.
+  /// answer what it got meanwhile. The answer to a \p Check that brings news
+  /// is returned in its place.
   std::variant<http_response, platform_unavailable>
-  hold(http_request Request, std::chrono::milliseconds Wait,
-       http_request Probe) const;
+  hold(http_request Request, std::chrono::milliseconds Wait, http_request Probe,
+       const call_check &Check = {}) const;
 
 private:
   std::string Address;
--- a/packages/net/tests/object_feed_test.cpp
+++ b/packages/net/tests/object_feed_test.cpp
@@ -2,6 +2,9 @@
 /// A feed follows a platform that pages, forgets and falls silent.
 
 #include "masticproxy/Net"
+#include "masticproxy/src/Net/known_revision.h"
+#include "masticproxy/src/Net/os_clock.h"
+#include "masticproxy/src/Net/watch_check.h"
 
 #include <boost/asio/io_context.hpp>
 #include <criterion/criterion.h>
@@ -267,3 +270,41 @@
       follow({{200, "more 7 a"}, {503, ""}, {200, "list 8 b"}}, 2, Results);
   cr_assert(Asked == (targets{"/list/", "/list/a", "/list/"}));
 }
+
+// Guards against: a change whose answer was lost on its way stays unknown until
+// the watch times out.
+Test(object_feed, hears_by_a_check_of_a_change_whose_answer_was_lost) {
+  boost::asio::io_context Context{1};
+  std::vector<http_server::responder> Lost;
+  int Watches = 0;
+  http_server Server(
+      Context, "127.0.0.1:0", {},
+      [&](const http_request &Request, const http_server::responder &Respond) {
+        http_response Response;
+        Response.Body = "list 7 a";
+        // The first is the held watch, the second its probe.
+        if (Request.Target != "/list/" && ++Watches == 1)
+          return Lost.push_back(Respond);
+        if (Watches > 0)
+          Response.Body = Watches < 4 ? "changes 8" : "changes 9 b";
+        Respond(std::move(Response));
+      });
+  std::thread Thread([&] { Context.run(); });
+  platform_caller Caller("127.0.0.1:" + std::to_string(Server.port()),
+                         CallTimeout);
+  plain_codec Codec;
+  os_clock Clock;
+  known_revision Platform;
+  watch_check Check(Clock, Platform, {milliseconds(400)});
+  object_feed Feed(Caller, Codec);
+  Feed.checkWatches(Check);
+  Feed.next(Wait);
+  auto Start = Clock.now();
+  auto Result = Feed.next(milliseconds(20000));
+  cr_assert(Clock.now() - Start < milliseconds(2000));
+  cr_assert(std::get<feed_news>(Result).Events.size() == 1);
+  cr_assert(std::get<feed_news>(Result).Revision == 9);
+  cr_assert(Feed.checks() == 2);
+  Context.stop();
+  Thread.join();
+}
