A process that meets a moment's trouble at its start goes on

Cause, as far as it could be reproduced: an address in use for half a second, as by a predecessor that is being killed, ended the process, as did settings that were missing, empty or half written for a moment; SIGHUP in the first milliseconds ended it by the signal.

Whether these are the users' cases is not known.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -7,11 +7,16 @@
 #include "masticproxy/src/Settings/settings_error.h"
 #include "masticproxy/src/Settings/settings_reference.h"
 
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <chrono>
 #include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 #include <stdexcept>
+#include <thread>
 
 using namespace masticproxy;
 
@@ -34,6 +39,25 @@
   return readNodeSettings(readFile(Path), Path);
 }
 
+/// Longest wait for settings that can be read, and the pause between two tries.
+/// The file may be written while this process starts.
+constexpr std::chrono::seconds SettingsWait{2};
+constexpr std::chrono::milliseconds SettingsPause{50};
+
+/// \returns the settings at \p Path, as soon as they can be read. \throws
+/// std::exception where they can't in time
+node_settings awaitSettings(const std::string &Path) {
+  auto Latest = std::chrono::steady_clock::now() + SettingsWait;
+  while (std::chrono::steady_clock::now() < Latest) {
+    try {
+      return readSettings(Path);
+    } catch (const std::exception &) {
+      std::this_thread::sleep_for(SettingsPause);
+    }
+  }
+  return readSettings(Path);
+}
+
 /// Waits for signals until one asks to leave.
 void waitForLeave(const sigset_t &Signals, const std::string &SettingsFile) {
   for (;;) {
@@ -52,21 +76,37 @@
   }
 }
 
-/// Blocks the signals that waitForLeave() waits for. \returns them.
-sigset_t blockSignals() {
+/// \returns the signals that waitForLeave() waits for.
+sigset_t awaitedSignals() {
   sigset_t Signals;
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
   sigaddset(&Signals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   return Signals;
 }
 
+/// Blocks the awaited signals, so that a process that is stopped or reloaded
+/// while it starts does not die of them.
+void blockSignals() {
+  sigset_t Signals = awaitedSignals();
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+}
+
+/// The same by a plain system call, as it runs before any library's own start.
+void blockSignalsEarly() {
+  sigset_t Signals = awaitedSignals();
+  constexpr std::size_t KernelMaskBytes = 8;
+  syscall(SYS_rt_sigprocmask, SIG_BLOCK, &Signals, nullptr, KernelMaskBytes);
+}
+
+// The libraries' own start takes longer than this program's.
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const BlockSignalsEarly)() = blockSignalsEarly;
+
 int run(int ArgCount, char **Args) {
-  // At once, so that a process that is stopped or reloaded while it starts
-  // does not die of the signal; and before any thread inherits the mask.
-  sigset_t Signals = blockSignals();
+  // Before any thread inherits the mask.
+  blockSignals();
   std::signal(SIGPIPE, SIG_IGN);
   daemon_options Options = readDaemonOptions(ArgCount, Args);
   if (Options.ShowHelp) {
@@ -81,15 +121,16 @@
     std::cout << settingsReference();
     return ExitGood;
   }
-  node_settings Settings = readSettings(Options.SettingsFile);
   if (Options.CheckOnly) {
+    readSettings(Options.SettingsFile);
     std::cout << Options.SettingsFile << ": good\n";
     return ExitGood;
   }
+  node_settings Settings = awaitSettings(Options.SettingsFile);
   setUpLog(Settings.LogLevel, Settings.Name);
   entry_daemon Daemon(std::move(Settings));
   Daemon.start();
-  waitForLeave(Signals, Options.SettingsFile);
+  waitForLeave(awaitedSignals(), Options.SettingsFile);
   Daemon.leave();
   return ExitGood;
 }
--- a/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
@@ -5,13 +5,11 @@
 #include "masticproxy/src/Daemon/peer_sender.h"
 #include "masticproxy/src/Daemon/relay_thread.h"
 #include "masticproxy/src/Net/hybrid_clock.h"
-#include "masticproxy/src/Net/tcp_address.h"
+#include "masticproxy/src/Net/tcp_listen.h"
 #include "masticproxy/src/Settings/address_text.h"
 #include "masticproxy/src/Wire/frame_reader.h"
 #include "masticproxy/src/Wire/peer_codec.h"
 
-#include <stdexcept>
-
 using namespace masticproxy;
 using boost::asio::ip::tcp;
 
@@ -27,16 +25,7 @@
 peers_thread::~peers_thread() { stop(); }
 
 void peers_thread::start() {
-  try {
-    tcp::endpoint Endpoint = parseTcpAddress(Address);
-    Acceptor.open(Endpoint.protocol());
-    Acceptor.set_option(tcp::acceptor::reuse_address(true));
-    Acceptor.bind(Endpoint);
-    Acceptor.listen();
-  } catch (const std::exception &Error) {
-    throw std::runtime_error("can't listen at " + Address + ": " +
-                             Error.what());
-  }
+  listenAt(Acceptor, Address);
   accept();
   Loop.start();
 }
--- a/packages/net/masticproxy/src/Net/http_server.cpp
+++ b/packages/net/masticproxy/src/Net/http_server.cpp
@@ -1,10 +1,9 @@
 #include "masticproxy/src/Net/http_server.h"
 
 #include "masticproxy/src/Net/http_session.h"
-#include "masticproxy/src/Net/tcp_address.h"
+#include "masticproxy/src/Net/tcp_listen.h"
 
 #include <list>
-#include <stdexcept>
 
 using namespace masticproxy;
 using boost::asio::ip::tcp;
@@ -62,16 +61,7 @@
                          std::string_view Address, http_server_limits Limits,
                          handler Handler)
     : State(std::make_shared<state>(Context, Limits, std::move(Handler))) {
-  try {
-    tcp::endpoint Endpoint = parseTcpAddress(Address);
-    State->Acceptor.open(Endpoint.protocol());
-    State->Acceptor.set_option(tcp::acceptor::reuse_address(true));
-    State->Acceptor.bind(Endpoint);
-    State->Acceptor.listen();
-  } catch (const std::exception &Error) {
-    throw std::runtime_error("can't listen at " + std::string(Address) + ": " +
-                             Error.what());
-  }
+  listenAt(State->Acceptor, Address);
   State->accept();
 }
 
--- a/packages/testing/tests/starting_test.cpp
+++ b/packages/testing/tests/starting_test.cpp
@@ -1,16 +1,21 @@
 /// \file
-/// What a daemon does that is asked to leave before it has started.
+/// Daemons that meet something odd while they start.
 
 #include "masticproxy/Harness"
+#include "masticproxy/Net"
 
 #include <criterion/criterion.h>
 
+#include <boost/asio/io_context.hpp>
+
 #include <fcntl.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <filesystem>
+#include <fstream>
+#include <thread>
 
 using namespace masticproxy;
 
@@ -20,10 +25,13 @@
 
 constexpr unsigned FirstPort = 29600;
 
+std::string address(unsigned Offset) {
+  return testHost() + ":" + std::to_string(FirstPort + Offset);
+}
+
 std::string settings() {
   auto Address = [](unsigned Offset) {
-    return "\"" + testHost() + ":" + std::to_string(FirstPort + Offset) +
-           "\"\n";
+    return "\"" + address(Offset) + "\"\n";
   };
   return "[node]\nname = \"vm\"\ndata_centre = \"dc1\"\n"
          "[platform]\naddress = " +
@@ -31,6 +39,25 @@
          "peers = " + Address(2) + "[leave]\nbalancer_lag = \"100ms\"\n";
 }
 
+bool serves() {
+  exchange_result Result = httpCall(address(1), {}, std::chrono::seconds(1));
+  return std::holds_alternative<http_response>(Result);
+}
+
+/// A path for settings, at which there are none yet.
+struct settings_path {
+  settings_path()
+      : Path(std::filesystem::temp_directory_path() /
+             ("masticproxy-settings-" + std::to_string(getpid()))) {}
+  ~settings_path() { std::filesystem::remove(Path); }
+
+  void write(const std::string &Text) const { std::ofstream(Path) << Text; }
+
+  std::filesystem::path Path;
+};
+
+constexpr std::chrono::milliseconds Moment{500};
+
 /// A pipe in place of a settings file: its reader stands still until the whole
 /// text was written.
 struct settings_pipe {
@@ -67,3 +94,44 @@
   close(Writer);
   cr_assert(Daemon.waitForExit(ExitWait) == 0);
 }
+
+// A process that was killed holds its address a little longer than its
+// successor takes to start.
+Test(starting, waits_for_an_address_that_is_in_use) {
+  settings_path Settings;
+  Settings.write(settings());
+  for (unsigned Offset : {1, 2}) {
+    boost::asio::io_context Context;
+    auto Before = std::make_unique<http_server>(
+        Context, address(Offset), http_server_limits{},
+        [](const http_request &, const http_server::responder &) {});
+    child_process Daemon(
+        {programPath("masticproxyd"), "--settings", Settings.Path},
+        "/dev/null");
+    std::this_thread::sleep_for(Moment);
+    Before.reset();
+    Context.poll();
+    cr_assert(waitUntil([] { return serves(); }));
+    Daemon.signal(SIGTERM);
+    cr_assert(Daemon.waitForExit(ExitWait) == 0);
+  }
+}
+
+// The platform writes the settings while it starts the process.
+Test(starting, waits_for_settings_that_can_not_be_read_yet) {
+  std::string Whole = settings();
+  for (const std::string &First :
+       {std::string(), Whole.substr(0, Whole.size() / 2)}) {
+    settings_path Settings;
+    if (!First.empty())
+      Settings.write(First);
+    child_process Daemon(
+        {programPath("masticproxyd"), "--settings", Settings.Path},
+        "/dev/null");
+    std::this_thread::sleep_for(Moment);
+    Settings.write(Whole);
+    cr_assert(waitUntil([] { return serves(); }));
+    Daemon.signal(SIGTERM);
+    cr_assert(Daemon.waitForExit(ExitWait) == 0);
+  }
+}
