Checks of watches: a second is enough to apply their news

News of a check wait for no gathering pause and no further call, so that 1 s is kept back for applying them instead of 1.5 s, and 50 ms lie between two kinds' checks.

net_watch_check_test:leaves_time_to_bring_a_change_into_force holds the bound.

--- a/packages/core/masticproxy/src/Discovery/read_freshness.cpp
+++ b/packages/core/masticproxy/src/Discovery/read_freshness.cpp
@@ -15,6 +15,9 @@
 /// processor time: the pause in which changes gather, and the catalogue.
 constexpr std::chrono::milliseconds ApplyTime{1500};
 
+/// The same for news that a check brings, which wait for no others.
+constexpr std::chrono::milliseconds CheckedApplyTime{1000};
+
 /// Least time between two checks that are answered from a copy. They cost a
 /// part of others, but there are more of them.
 constexpr std::chrono::milliseconds LeastCopyInterval{1000};
@@ -35,7 +38,7 @@
 
 check_plan masticproxy::checksFor(duration Within) {
   check_plan Plan;
-  Plan.LongestAge = std::max<duration>(Within - ApplyTime, LeastAge);
+  Plan.LongestAge = std::max<duration>(Within - CheckedApplyTime, LeastAge);
   if (Plan.LongestAge >= LongestLag + LeastCopyInterval)
     Plan.Freshness = read_freshness::MayLag;
   return Plan;
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -36,7 +36,7 @@
 
 /// Between the checks of two kinds of objects, so that the first one can make
 /// the others needless.
-constexpr std::chrono::milliseconds CheckStagger{100};
+constexpr std::chrono::milliseconds CheckStagger{50};
 
 /// Time for the responses to requests that were cut short to be sent.
 constexpr std::chrono::milliseconds LastResponses{300};
