A message whose end can be read in two ways is none

Cause: the parser ignores transfer codings other than a last chunked.

Why this works: a request with any other coding than chunked, with several, with a coding beside a length, or with several lengths gets 400 and ends its connection (RFC 9112); so does TRACE with a body. A response framed like that is none. Interim responses are read over, as the final one follows.

--- a/packages/net/masticproxy/src/Net/http_connection.cpp
+++ b/packages/net/masticproxy/src/Net/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Net/byte_budget.h"
 #include "masticproxy/src/Net/http_convert.h"
+#include "masticproxy/src/Net/http_framing.h"
 #include "masticproxy/src/Net/socket_peek.h"
 #include "masticproxy/src/Net/tcp_address.h"
 #include "masticproxy/src/Net/tcp_options.h"
@@ -29,6 +30,10 @@
 /// and less than it takes for a lost opening packet to be sent again.
 constexpr std::chrono::milliseconds ConnectTimeout{300};
 
+/// The only status below 200 of a response that is the last one; no request of
+/// ours asks for it.
+constexpr unsigned SwitchingProtocols = 101;
+
 /// Bytes of a response that no budget counts, so that what most responses need
 /// is always there.
 constexpr std::size_t FreeBytes = 64U << 10U;
@@ -37,6 +42,12 @@
 /// have. Chunk extensions and trailers have no other limit.
 constexpr std::size_t MaxBufferedBytes = 32U << 10U;
 
+/// \returns whether a response of \p Status is followed by another one.
+constexpr bool isInterim(unsigned Status) {
+  constexpr unsigned FirstFinal = 200;
+  return Status < FirstFinal && Status != SwitchingProtocols;
+}
+
 /// Read at first; most responses of one shard are shorter.
 constexpr std::size_t FirstReadBytes = 4096;
 
@@ -51,13 +62,26 @@
 
   ~state() { releaseBytes(); }
 
-  void start(http_request NewRequest, std::chrono::milliseconds Timeout) {
-    Request = internal::toBeast(std::move(NewRequest));
-    Serializer.emplace(Request);
+  /// Awaits a response from here on.
+  void resetParser() {
     Parser.emplace();
     Parser->body_limit(MaxResponseBytes);
+    Parser->eager(true);
     // The response to HEAD states a length and has no body.
     Parser->skip(Request.method() == http::verb::head);
+  }
+
+  void start(http_request NewRequest, std::chrono::milliseconds Timeout) {
+    try {
+      Request = internal::toBeast(std::move(NewRequest));
+    } catch (const std::exception &) {
+      // A field that can't be written ends this exchange alone.
+      return post([](state &Self) {
+        Self.fail(/*MayHaveRun=*/false, boost::asio::error::invalid_argument);
+      });
+    }
+    Serializer.emplace(Request);
+    resetParser();
     Deadline = std::chrono::steady_clock::now() + Timeout;
     Released = false;
     if (usable()) {
@@ -130,7 +154,12 @@
     if (Error)
       return fail(/*MayHaveRun=*/true, Error);
     Buffer.commit(Bytes);
-    Parser->eager(true);
+    parse();
+  }
+
+  /// Takes what has come already.
+  void parse() {
+    boost::system::error_code Error;
     Buffer.consume(Parser->put(Buffer.data(), Error));
     if (Error && Error != http::error::need_more)
       return fail(/*MayHaveRun=*/true, Error);
@@ -139,8 +168,15 @@
     readRest();
   }
 
+  /// Reads on after an interim response, as the final one follows it.
+  void readNext() {
+    resetParser();
+    if (Buffer.size() == 0)
+      return readRest();
+    parse();
+  }
+
   void readRest() {
-    Parser->eager(true);
     http::async_read_some(Socket, Buffer, *Parser,
                           [Self = shared_from_this()](
                               const boost::system::error_code &E, std::size_t) {
@@ -185,6 +221,11 @@
   }
 
   void succeed() {
+    const auto &Message = Parser->get();
+    if (isInterim(Message.result_int()))
+      return readNext();
+    if (!internal::isFramedClearly(Message, Message.version()))
+      return fail(/*MayHaveRun=*/true, http::error::bad_transfer_encoding);
     http_response Response = internal::fromBeast(Parser->release());
     // What follows a response before the next request belongs to none.
     if (Response.Close || Buffer.size() > 0)
--- a/packages/net/masticproxy/src/Net/http_request_parser.cpp
+++ b/packages/net/masticproxy/src/Net/http_request_parser.cpp
@@ -1,5 +1,6 @@
 #include "masticproxy/src/Net/http_request_parser.h"
 
+#include "masticproxy/src/Net/http_framing.h"
 #include "masticproxy/src/Net/http_status.h"
 
 using namespace masticproxy;
@@ -38,6 +39,17 @@
   return Response;
 }
 
+std::optional<http_response>
+internal::refusalOf(const http_request_parser::value_type &Request) {
+  if (!isFramedClearly(Request, Request.version()))
+    return rejection(StatusBadRequest, "malformed_http",
+                     "the end of the body can be read in two ways");
+  if (Request.method() == http::verb::trace && !Request.body().empty())
+    return rejection(StatusBadRequest, "malformed_http",
+                     "a TRACE request has no body");
+  return std::nullopt;
+}
+
 std::optional<http_response>
 internal::rejectionOf(const boost::system::error_code &Error) {
   if (Error == http::error::body_limit)
--- a/packages/net/masticproxy/src/Net/http_request_parser.h
+++ b/packages/net/masticproxy/src/Net/http_request_parser.h
@@ -25,6 +25,10 @@
 /// \returns the response to a request for whose body there is no room now.
 http_response bodiesTooLarge();
 
+/// \returns the response to a whole request that no server may take; nothing
+/// where it is in order.
+std::optional<http_response> refusalOf(const http_request_parser::value_type &);
+
 /// \returns the response to bytes that are no request or one above the limits;
 /// nothing where \p Error means that the connection ended.
 std::optional<http_response>
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -184,6 +184,8 @@
         Self->Rules->CallerGone(Self->Serial);
         Self->close();
       });
+  if (auto Refusal = refusalOf(Parser->get()))
+    return reject(std::move(*Refusal));
 }
 
 bool http_session::callerLeft() {
