No request ends the process

Cause: prepare_payload() throws where a method should have no body, and no thread caught anything.

Why this works: lengths are stated by ourselves, which throws nothing; and each thread's loop, the control actor and the threads that follow the platform go on after an exception, with a log line and errors_contained_total. The connection whose request threw ends.

--- a/packages/daemon/masticproxy/src/Daemon/claims_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/claims_thread.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Claims/claim_sweep.h"
+#include "masticproxy/src/Daemon/error_boundary.h"
 #include "masticproxy/src/Net/platform_api.h"
 
 #include <algorithm>
@@ -84,24 +85,28 @@
       if (Stopping)
         return;
     }
-    Requests.drain([this](claim_request Request) {
-      if (auto *Wanted = std::get_if<claim_wanted>(&Request))
-        Claimant.want(std::move(*Wanted));
-      else
-        Claimant.release(std::get<claim_unused>(std::move(Request)));
-    });
-    std::optional<claim_operation> Operation = Claimant.next();
-    if (Operation)
-      std::visit([this](const auto &O) { carryOut(O); }, *Operation);
-    report();
-    if (Operation)
-      continue;
-    if (Clock.now() >= NextSweep)
-      sweep();
-    waitForWork();
+    runContained(Counters, "claims", [this] { step(); });
   }
 }
 
+void claims_thread::step() {
+  Requests.drain([this](claim_request Request) {
+    if (auto *Wanted = std::get_if<claim_wanted>(&Request))
+      Claimant.want(std::move(*Wanted));
+    else
+      Claimant.release(std::get<claim_unused>(std::move(Request)));
+  });
+  std::optional<claim_operation> Operation = Claimant.next();
+  if (Operation)
+    std::visit([this](const auto &O) { carryOut(O); }, *Operation);
+  report();
+  if (Operation)
+    return;
+  if (Clock.now() >= NextSweep)
+    sweep();
+  waitForWork();
+}
+
 void claims_thread::waitForWork() {
   time_point Until = NextSweep;
   if (std::optional<time_point> Next = Claimant.nextWakeup())
--- a/packages/daemon/masticproxy/src/Daemon/claims_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/claims_thread.h
@@ -32,6 +32,7 @@
 
 private:
   void run();
+  void step();
   void waitForWork();
   void carryOut(const create_claim &Operation);
   void carryOut(const remove_claim &Operation);
--- a/packages/daemon/masticproxy/src/Daemon/control_actor.h
+++ b/packages/daemon/masticproxy/src/Daemon/control_actor.h
@@ -14,6 +14,7 @@
 namespace masticproxy {
 
 class control_duty;
+class counter_registry;
 
 /// \brief The thread of the control duty, as a detached CAF actor.
 ///
@@ -22,12 +23,16 @@
 class control_actor : public caf::event_based_actor {
 public:
   control_actor(caf::actor_config &Config, control_duty &Duty,
+                counter_registry &Counters,
                 std::chrono::milliseconds HeartbeatInterval);
 
   caf::behavior make_behavior() override;
 
 private:
+  template <typename Action> void run(Action Do);
+
   control_duty &Duty;
+  counter_registry &Counters;
   std::chrono::milliseconds HeartbeatInterval;
 };
 
--- a/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/discovery_thread.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/daemon_log.h"
+#include "masticproxy/src/Daemon/error_boundary.h"
 #include "masticproxy/src/Daemon/failure_pause.h"
 #include "masticproxy/src/Net/platform_caller.h"
 
@@ -82,7 +83,8 @@
 
 void discovery_thread::run() {
   while (!stopping())
-    step();
+    if (!runContained(Counters, Plan.Kind, [this] { step(); }))
+      pause(LongestPause);
 }
 
 void discovery_thread::step() {
--- a/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/entry_daemon.cpp
@@ -105,7 +105,7 @@
                     PlatformStop.get_token()),
         Platform(Settings.PlatformAddress, Settings.PlatformCallTimeout,
                  PlatformStop.get_token()),
-        Loops(Settings.OneRequestThread),
+        Loops(Settings.OneRequestThread, Counters),
         Engine(Loops.engine(), Clock, engineLimits(Settings), Counters, Events,
                Effects),
         Upstreams(Loops.upstreams(), Clock, Counters, Grant,
@@ -268,7 +268,7 @@
 
 void entry_daemon::start() {
   Parts->Control = Parts->Actors.spawn<control_actor, caf::detached>(
-      Parts->Duty, Parts->Settings.HeartbeatInterval);
+      Parts->Duty, Parts->Counters, Parts->Settings.HeartbeatInterval);
   Parts->Upstreams.start();
   Parts->Callers.start();
   Parts->Loops.start();
--- a/packages/daemon/masticproxy/src/Daemon/loop_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/loop_thread.h
@@ -10,10 +10,13 @@
 
 namespace masticproxy {
 
-/// \brief A thread that runs one io_context until stopped.
+class counter_registry;
+
+/// \brief A thread that runs one io_context until stopped. An exception that
+/// leaves a handler ends that handler alone.
 class loop_thread {
 public:
-  loop_thread();
+  explicit loop_thread(counter_registry &Counters);
   ~loop_thread();
   loop_thread(const loop_thread &) = delete;
   loop_thread &operator=(const loop_thread &) = delete;
@@ -33,13 +36,16 @@
   /// Runs \p Task on the thread: at once where the caller runs there.
   void dispatch(std::function<void()> Task);
 
-  /// Runs \p Task on the thread and waits for its end.
+  /// Runs \p Task on the thread and waits for its end. \throws what it throws.
   void call(const std::function<void()> &Task);
 
   /// Stops the loop and joins the thread; safe to call twice.
   void stop();
 
 private:
+  void run();
+
+  counter_registry &Counters;
   boost::asio::io_context Context;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   std::thread Thread;
--- a/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/peers_thread.cpp
@@ -16,7 +16,8 @@
 peers_thread::peers_thread(std::string Address, hybrid_clock &Timeline,
                            counter_registry &Counters)
     : Address(std::move(Address)), Timeline(Timeline), Counters(Counters),
-      Acceptor(Loop.context()), Outbox(ControlRingCapacity, [this] {
+      Loop(Counters), Acceptor(Loop.context()),
+      Outbox(ControlRingCapacity, [this] {
         Loop.post([this] {
           Outbox.drain([this](const send_to_peer &Command) { send(Command); });
         });
--- a/packages/daemon/masticproxy/src/Daemon/platform_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/platform_thread.cpp
@@ -1,6 +1,7 @@
 #include "masticproxy/src/Daemon/platform_thread.h"
 
 #include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/error_boundary.h"
 #include "masticproxy/src/Daemon/failure_pause.h"
 #include "masticproxy/src/Net/platform_api.h"
 
@@ -84,12 +85,16 @@
 }
 
 void platform_thread::run() {
-  while (std::optional<bool> Watch = waitForDuty()) {
-    if (*Watch)
-      follow();
-    else
-      listVms(IdleListInterval);
-  }
+  while (std::optional<bool> Watch = waitForDuty())
+    if (!runContained(Counters, "platform", [&] { step(*Watch); }))
+      pause(LongestPause);
+}
+
+void platform_thread::step(bool Watch) {
+  if (Watch)
+    follow();
+  else
+    listVms(IdleListInterval);
 }
 
 void platform_thread::follow() {
--- a/packages/daemon/masticproxy/src/Daemon/platform_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/platform_thread.h
@@ -42,6 +42,8 @@
 
 private:
   void run();
+  /// Follows the configuration, or else lists the VMs.
+  void step(bool Watch);
   /// Waits until there is something to do. \returns whether to watch, or
   /// nothing at the end.
   std::optional<bool> waitForDuty();
--- a/packages/daemon/masticproxy/src/Daemon/relay_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/relay_thread.cpp
@@ -22,19 +22,22 @@
 relay_thread::relay_thread(const clock &Clock, hybrid_clock &Timeline,
                            counter_registry &Counters, event_log &Events,
                            std::string Origin, std::uint64_t Incarnation)
-    : Links{Loop.context(),
-            Clock,
-            Timeline,
-            Counters,
-            Events,
-            std::move(Origin),
-            Incarnation,
-            [this](const relay_event &Event) {
-              // The engine never waits for this thread, so its ring drains.
-              while (!Engine->push(Event))
-                std::this_thread::yield();
-            },
-            [this](const relay_event &Event) { return Engine->push(Event); }},
+    : Loop(Counters), Links{Loop.context(),
+                            Clock,
+                            Timeline,
+                            Counters,
+                            Events,
+                            std::move(Origin),
+                            Incarnation,
+                            [this](const relay_event &Event) {
+                              // The engine never waits for this thread, so its
+                              // ring drains.
+                              while (!Engine->push(Event))
+                                std::this_thread::yield();
+                            },
+                            [this](const relay_event &Event) {
+                              return Engine->push(Event);
+                            }},
       Timer(Loop.context()), Commands(RequestRingCapacity, [this] {
         Loop.post([this] {
           Commands.drain([this](relay_command C) {
--- a/packages/daemon/masticproxy/src/Daemon/request_loops.h
+++ b/packages/daemon/masticproxy/src/Daemon/request_loops.h
@@ -11,7 +11,7 @@
 /// them, or one for all.
 class request_loops {
 public:
-  explicit request_loops(bool Shared);
+  request_loops(bool Shared, counter_registry &Counters);
 
   loop_thread &callers() { return Callers; }
   loop_thread &engine() { return OwnEngine ? *OwnEngine : Callers; }
--- a/packages/daemon/masticproxy/src/Daemon/suspicion_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/suspicion_thread.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Base/counter_registry.h"
 #include "masticproxy/src/Daemon/daemon_log.h"
+#include "masticproxy/src/Daemon/error_boundary.h"
 #include "masticproxy/src/Daemon/failure_pause.h"
 #include "masticproxy/src/Net/object_writer.h"
 #include "masticproxy/src/Platform/suspicion_codec.h"
@@ -56,14 +57,19 @@
       if (Stopping)
         return;
     }
-    takeSuspicions();
-    if (std::optional<notice_write> Write = Publisher.next())
-      carryOut(*Write);
-    else
-      waitForWork();
+    if (!runContained(Counters, "suspicions", [this] { step(); }))
+      pause(LongestPause);
   }
 }
 
+void suspicion_thread::step() {
+  takeSuspicions();
+  if (std::optional<notice_write> Write = Publisher.next())
+    carryOut(*Write);
+  else
+    waitForWork();
+}
+
 void suspicion_thread::takeSuspicions() {
   Suspicions.drain([this](suspicion_news News) {
     if (auto *Notice = std::get_if<poison_notice>(&News))
--- a/packages/daemon/masticproxy/src/Daemon/suspicion_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/suspicion_thread.h
@@ -32,6 +32,7 @@
 
 private:
   void run();
+  void step();
   void takeSuspicions();
   void carryOut(const notice_write &Write);
   platform_write_result call(const publish_notice &Write);
--- a/packages/daemon/tests/upstreams_thread_test.cpp
+++ b/packages/daemon/tests/upstreams_thread_test.cpp
@@ -63,7 +63,7 @@
   counter_registry Counters;
   published<connection_grant> Grant;
   forwarding_names Names;
-  loop_thread Loop;
+  loop_thread Loop{Counters};
   upstreams_thread Sent;
   upstream_event_ring Ended;
   attempt_id Number = 0;
--- a/packages/net/masticproxy/src/Net/http_convert.cpp
+++ b/packages/net/masticproxy/src/Net/http_convert.cpp
@@ -11,6 +11,19 @@
 
 } // namespace
 
+/// \returns whether responses of \p Status have a body, be it an empty one.
+bool hasBody(unsigned Status) {
+  return http::to_status_class(Status) != http::status_class::informational &&
+         Status != StatusNoContent && Status != StatusNotModified;
+}
+
+/// \returns whether a request of \p Method states its length although that is
+/// zero.
+bool expectsBody(http::verb Method) {
+  return Method == http::verb::post || Method == http::verb::put ||
+         Method == http::verb::options;
+}
+
 internal::beast_request internal::toBeast(http_request From) {
   beast_request To;
   To.version(HttpVersion);
@@ -21,7 +34,10 @@
   for (const auto &[Name, Value] : From.Headers)
     To.insert(Name, Value);
   To.body() = std::move(From.Body);
-  To.prepare_payload();
+  // Not by prepare_payload(), which throws where a method should have no body.
+  bool StatesLength = !To.body().empty() || expectsBody(To.method());
+  if (StatesLength)
+    To.content_length(To.body().size());
   return To;
 }
 
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -166,10 +166,20 @@
   Serial = Request.Serial = ++Rules->LastSerial;
   if (Rules->CallerGone)
     watchCaller();
-  Rules->Handler(std::move(Request),
-                 [Self = shared_from_this()](http_response Response) {
-                   Self->respond(std::move(Response));
-                 });
+  handle(std::move(Request));
+}
+
+void http_session::handle(http_request Request) {
+  try {
+    Rules->Handler(std::move(Request),
+                   [Self = shared_from_this()](http_response Response) {
+                     Self->respond(std::move(Response));
+                   });
+  } catch (...) {
+    // What failed is this connection, not the server.
+    close();
+    throw;
+  }
 }
 
 void http_session::watchCaller() {
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -50,6 +50,7 @@
   /// Answers with \p Rejection, and ends the connection.
   void reject(http_response Rejection);
   void respond(http_response Response);
+  void handle(http_request Request);
   void readOutRejected();
   void discard(std::size_t Already);
 
