No body to HEAD, nor with 1xx, 204 and 304

Cause: responses were written without regard to the request's method.

Why this works: the conversion to the wire knows the method; the length that an upstream states to HEAD is passed on.

--- a/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
@@ -220,7 +220,11 @@
   Result.Snapshot = Attempt.Snapshot;
   Result.Shard = Attempt.Shard;
   Result.Status = Response.Status;
+  std::string Length(findHeader(Response.Headers, "content-length"));
   Result.Headers = endToEndHeaders(std::move(Response.Headers));
+  // The response to HEAD states the length of a body that it has not.
+  if (Attempt.Forwarded->Method == "HEAD" && !Length.empty())
+    Result.Headers.emplace_back("content-length", std::move(Length));
   Result.Body = std::move(Response.Body);
   return Answer;
 }
--- a/packages/net/masticproxy/src/Net/http_convert.cpp
+++ b/packages/net/masticproxy/src/Net/http_convert.cpp
@@ -1,5 +1,7 @@
 #include "masticproxy/src/Net/http_convert.h"
 
+#include "masticproxy/src/Net/http_status.h"
+
 #include <utility>
 
 using namespace masticproxy;
@@ -9,8 +11,6 @@
 
 constexpr unsigned HttpVersion = 11;
 
-} // namespace
-
 /// \returns whether responses of \p Status have a body, be it an empty one.
 bool hasBody(unsigned Status) {
   return http::to_status_class(Status) != http::status_class::informational &&
@@ -24,6 +24,8 @@
          Method == http::verb::options;
 }
 
+} // namespace
+
 internal::beast_request internal::toBeast(http_request From) {
   beast_request To;
   To.version(HttpVersion);
@@ -41,15 +43,25 @@
   return To;
 }
 
-internal::beast_response internal::toBeast(http_response From, bool KeepAlive) {
+internal::beast_response internal::toBeast(http_response From, bool KeepAlive,
+                                           http::verb Method) {
   beast_response To;
   To.version(HttpVersion);
   To.result(From.Status);
   for (const auto &[Name, Value] : From.Headers)
     To.insert(Name, Value);
   To.keep_alive(KeepAlive && !From.Close);
+  if (Method == http::verb::head) {
+    // The length is that of the body which GET would get, if it is known.
+    if (!From.Body.empty())
+      To.content_length(From.Body.size());
+    return To;
+  }
+  To.erase(http::field::content_length);
+  if (!hasBody(From.Status))
+    return To;
+  To.content_length(From.Body.size());
   To.body() = std::move(From.Body);
-  To.prepare_payload();
   return To;
 }
 
--- a/packages/net/masticproxy/src/Net/http_convert.h
+++ b/packages/net/masticproxy/src/Net/http_convert.h
@@ -27,8 +27,10 @@
 /// \returns the Beast form of \p From.
 beast_request toBeast(http_request From);
 
-/// \returns the Beast form of \p From.
-beast_response toBeast(http_response From, bool KeepAlive);
+/// \returns the Beast form of \p From, the response to a request of \p Method.
+/// Without a body where HTTP has none: to HEAD, and with some statuses.
+beast_response toBeast(http_response From, bool KeepAlive,
+                       boost::beast::http::verb Method);
 
 /// \returns the plain form of \p From.
 http_request fromBeast(beast_request From);
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -68,7 +68,7 @@
   Parser.emplace();
   setLimits(*Parser, Rules->Limits.HeaderBytes, Rules->Limits.BodyBytes);
   HeaderLate = false;
-  Buffer.max_size(Rules->Limits.HeaderBytes + MaxBufferedBytes);
+  Method = boost::beast::http::verb::unknown;
   // A caller may send its next request early.
   if (Buffer.size() > 0)
     return parseBuffered();
@@ -190,6 +190,7 @@
       [Self = shared_from_this()](const boost::system::error_code &Error) {
         Self->Watching = false;
         if (Error || !Self->Busy || !Self->callerLeft())
+  Method = Parser->get().method();
           return;
         Self->Rules->CallerGone(Self->Serial);
         Self->close();
@@ -207,7 +208,7 @@
 void http_session::respond(http_response Response) {
   // The parser knows of no keep-alive before it has read a whole header.
   bool Keep = !Closing && !Rejected && KeepAlive;
-  Out = toBeast(std::move(Response), Keep);
+  Out = toBeast(std::move(Response), Keep, Method);
   Stream.expires_after(Rules->Limits.IdleTimeout);
   http::async_write(Stream, *Out,
                     [Self = shared_from_this()](
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -74,6 +74,8 @@
   /// Taken from the budget of the server.
   std::size_t HeldBytes = 0;
 };
+  /// Of the request under way; unknown until it was read.
+  boost::beast::http::verb Method = boost::beast::http::verb::unknown;
 
 } // namespace masticproxy::internal
 
--- a/packages/net/masticproxy/src/Net/http_status.h
+++ b/packages/net/masticproxy/src/Net/http_status.h
@@ -5,6 +5,8 @@
 
 /// HTTP's status codes that the daemon and its client use.
 inline constexpr unsigned StatusOk = 200;
+inline constexpr unsigned StatusNoContent = 204;
+inline constexpr unsigned StatusNotModified = 304;
 inline constexpr unsigned StatusBadRequest = 400;
 inline constexpr unsigned StatusNotFound = 404;
 inline constexpr unsigned StatusMethodNotAllowed = 405;
