An answer of a forwarded request needs a part

Cause: a share of 0 was taken for enough. Why this works: without a result there is no answer; the request is refused, or too late. Evidence: core_forwarded_query_test:gives_no_answer_without_any_part and gives_no_answer_of_an_index_without_shards.

--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -170,9 +170,10 @@
 
 query_outcome query_run::finish(time_point Now) {
   coverage Covered = Partial.coverageSoFar();
-  // A snapshot without shards is complete by definition.
-  bool Enough = Covered.Asked == 0 || Covered.share() >= Profile.Coverage;
-  if (Enough)
+  // A snapshot without shards is complete by definition. A forwarded request
+  // has no answer that no upstream gave.
+  bool NoneAsked = Covered.Asked == 0 && !Route;
+  if (NoneAsked || hasEnoughCoverage())
     return answered{
         std::string(Partial.snapshot()), Covered, Partial.takeResults(),
         Route ? Route->Form : answer_form::Listed, Route ? Route->Records : 0};
--- a/packages/core/tests/forwarded_query_test.cpp
+++ b/packages/core/tests/forwarded_query_test.cpp
@@ -98,6 +98,27 @@
   cr_assert(Answer && Answer->Results.size() == 3);
 }
 
+// A success names at least one part, whatever coverage the route asks for.
+Test(forwarded, gives_no_answer_without_any_part) {
+  forwarding_simulation Simulation(1, 2, /*Coverage=*/0.0);
+  std::vector<engine_command> Last;
+  auto Attempts = attemptsIn(Simulation.submit(1));
+  while (!Attempts.empty()) {
+    Last = Simulation.fail(Attempts[0], attempt_failure::Refused);
+    Attempts = attemptsIn(Last);
+  }
+  auto Rest = Simulation.advanceTime(forwarding_simulation::Wait * 2);
+  Last.insert(Last.end(), Rest.begin(), Rest.end());
+  cr_assert(outcomeIn<answered>(Last) == nullptr);
+  cr_assert(count<deliver_outcome>(Last) == 1);
+}
+
+Test(forwarded, gives_no_answer_of_an_index_without_shards) {
+  forwarding_simulation Simulation(0, 2, /*Coverage=*/0.0);
+  auto Commands = Simulation.submit(1);
+  cr_assert(outcomeIn<not_run>(Commands) != nullptr);
+}
+
 Test(forwarded, never_exceeds_the_wait_of_the_caller) {
   forwarding_simulation Simulation(1);
   query_arrived Query;
