An upstream that starts again under its identity is used again

Cause: the identity stayed on a list for good. Why this works: the list names one start at one address, for 30 s; observed health belongs to a start as well. Evidence: core_forwarded_load_test:uses_an_upstream_again_that_starts_under_its_identity and asks_an_upstream_again_some_time_after_a_misdirection.

--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -145,7 +145,7 @@
   if (!Record)
     return;
   if (Event.Failure == attempt_failure::Misdirected)
-    Upstreams.misdirected(Record->Instance);
+    Upstreams.misdirected(Record->Process, Record->Upstream, Clock.now());
   if (Event.Failure == attempt_failure::Refused)
     Reach.recordResponse(Record->Upstream);
   if (Event.AtLimit)
@@ -303,7 +303,7 @@
   Run.attemptStarted(Shard, Attempt, Target.Address);
   auto Added = Attempts.emplace(
       Attempt, attempt_record{Ticket, Shard, Run.generation(), Target.Address,
-                              /*Relayed=*/false, Target.Instance,
+                              /*Relayed=*/false, std::string(Target.process()),
                               Run.latencyClass(), Kind, Clock.now()});
   Added.first->second.Signed = Run.forwardRoute() != nullptr;
   if (Run.pinnedProfile().MayRepeat && Kind != attempt_kind::Hedge)
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -112,8 +112,8 @@
     /// Address of the upstream, or name of the VM where Relayed.
     std::string Upstream;
     bool Relayed = false;
-    /// Expected identity of the upstream; empty: any.
-    std::string Instance;
+    /// The upstream's process, as replica::process() names it.
+    std::string Process;
     std::string Index;
     attempt_kind Kind = attempt_kind::First;
     time_point SentAt{};
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -9,8 +9,13 @@
 
 namespace {
 
-/// Maximum number of replaced identities that are kept.
-constexpr std::size_t MaxReplaced = 4096;
+/// How long a process is not asked at an address where another one answered.
+/// The next attempt finds out anew, as what is listed may have changed.
+constexpr std::chrono::seconds MisdirectedMemory{30};
+
+std::string placeOf(std::string_view Process, std::string_view Address) {
+  return std::string(Process) + "@" + std::string(Address);
+}
 
 /// How long an upstream that reset a connection is assumed to be full.
 constexpr std::chrono::milliseconds AtLimitMemory{10000};
@@ -140,13 +145,20 @@
   stateOf(Upstream, Now).AtLimitUntil = Now + AtLimitMemory;
 }
 
-void upstream_table::misdirected(const std::string &Instance) {
-  // An identity belongs to one process lifetime, so it is never used again.
-  // Discarding all at once when the limit is reached costs at most one attempt
-  // for each discarded identity that is still listed.
-  if (Replaced.size() >= MaxReplaced)
-    Replaced.clear();
-  Replaced.insert(Instance);
+void upstream_table::misdirected(std::string_view Process,
+                                 std::string_view Address, time_point Now) {
+  std::erase_if(MisdirectedUntil,
+                [Now](const auto &Entry) { return Entry.second <= Now; });
+  MisdirectedUntil[placeOf(Process, Address)] = Now + MisdirectedMemory;
+}
+
+bool upstream_table::isMisdirected(const replica &Replica,
+                                   time_point Now) const {
+  if (MisdirectedUntil.empty())
+    return false;
+  auto Found =
+      MisdirectedUntil.find(placeOf(Replica.process(), Replica.Address));
+  return Found != MisdirectedUntil.end() && Found->second > Now;
 }
 
 void upstream_table::abandoned(const attempt_facts &Attempt, time_point Now) {
@@ -179,7 +191,7 @@
   std::vector<candidate> Set;
   bool AnyReportedDraining = false;
   for (const replica &Replica : Replicas) {
-    if (!isSelectable(Replica) || Replaced.count(Replica.Instance) > 0)
+    if (!isSelectable(Replica) || isMisdirected(Replica, Now))
       continue;
     upstream_state &State = stateOf(Replica, Now);
     bool WasTried =
@@ -214,11 +226,12 @@
 upstream_table::upstream_state &upstream_table::stateOf(const replica &Replica,
                                                         time_point Now) {
   upstream_state &State = stateOf(Replica.Address, Now);
-  if (State.Instance == Replica.Instance)
+  if (State.Process == Replica.process())
     return State;
-  // The address now belongs to another upstream.
-  State.Instance = Replica.Instance;
-  State.Health = upstream_health(Now);
+  // The address now belongs to another process.
+  if (!State.Process.empty())
+    State.Health = upstream_health(Now);
+  State.Process = Replica.process();
   return State;
 }
 
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -15,7 +15,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -115,9 +114,10 @@
   /// takes.
   void atLimit(std::string_view Upstream, time_point Now);
 
-  /// Records that the address of \p Instance now belongs to another upstream;
-  /// \p Instance gets no further attempts.
-  void misdirected(const std::string &Instance);
+  /// Records that another process than \p Process answered at \p Address. It
+  /// gets no attempts there for a while; another start of it does.
+  void misdirected(std::string_view Process, std::string_view Address,
+                   time_point Now);
 
   /// Records that this VM abandoned an attempt before it ended.
   void abandoned(const attempt_facts &Attempt, time_point Now);
@@ -146,14 +146,15 @@
     /// Until when it is assumed to hold as many connections as it takes.
     time_point AtLimitUntil{};
     upstream_health Health;
-    /// Identity of the upstream process that the health was observed of.
-    std::string Instance;
+    /// The process that the health was observed of.
+    std::string Process;
   };
 
   bool isSelectable(const replica &Replica) const {
     return AllDataCentres || Replica.DataCentre == DataCentre;
   }
 
+  bool isMisdirected(const replica &Replica, time_point Now) const;
   std::vector<candidate> candidates(std::span<const replica> Replicas,
                                     std::span<const std::string> Tried,
                                     time_point Now);
@@ -180,8 +181,8 @@
   double AttemptsPerConnection = 0;
   std::shared_ptr<const connection_grant> Grant;
   std::map<std::string, upstream_state, std::less<>> States;
-  /// Identities whose address now belongs to another upstream.
-  std::set<std::string> Replaced;
+  /// Until when processes are not asked at addresses where others answered.
+  std::map<std::string, time_point> MisdirectedUntil;
 };
 
 } // namespace masticproxy
--- a/packages/core/tests/forwarded_load_test.cpp
+++ b/packages/core/tests/forwarded_load_test.cpp
@@ -210,6 +210,29 @@
   cr_assert(Misdirected == 1, "%d", Misdirected);
 }
 
+// An upstream starts again under its identity, after its address had gone to
+// another shard for a while: it is used again.
+Test(forwarded_load, uses_an_upstream_again_that_starts_under_its_identity) {
+  forwarding_simulation Simulation(1, 1);
+  auto Open = attemptsIn(Simulation.submit(1));
+  Simulation.fail(Open[0], attempt_failure::Misdirected);
+  cr_assert(attemptsIn(Simulation.submit(2)).empty());
+  Simulation.Upstreams[0].Started = milliseconds(1);
+  Simulation.publish();
+  Open = attemptsIn(Simulation.submit(3));
+  cr_assert(Open.size() == 1);
+  Simulation.answer(Open[0]);
+}
+
+// Where starts can't be told apart, it is asked again after a while.
+Test(forwarded_load, asks_an_upstream_again_some_time_after_a_misdirection) {
+  forwarding_simulation Simulation(1, 1);
+  auto Open = attemptsIn(Simulation.submit(1));
+  Simulation.fail(Open[0], attempt_failure::Misdirected);
+  Simulation.Clock.advance(std::chrono::seconds(31));
+  cr_assert(attemptsIn(Simulation.submit(2)).size() == 1);
+}
+
 // An upstream that reuses the address of another one must not inherit its
 // failures.
 Test(forwarded_load, forgets_the_failures_of_a_reassigned_address) {
