Limits in force, not those of the request before

Cause: limits were taken over by each forwarded request, for the next one. Why this works: they are read when a request begins, and when a connection that was silent for the older time would end. Without a configuration no limit gets in the way of the 503.

--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -78,7 +78,8 @@
   http_server_limits Limits;
   Limits.BodyBytes = Settings.BodyBytes;
   Limits.HeldBodyBytes = Settings.RequestBytes;
-  Limits.Connections = Settings.CallerConnections;
+  Limits.Connections =
+      callerConnectionsFor(descriptorLimit(), Settings.CallerConnections);
   Server = std::make_unique<http_server>(
       Loop.context(), Settings.CallersAddress, Limits,
       [this](http_request Request, const http_server::responder &Respond) {
@@ -91,6 +92,8 @@
   if (!Settings.PagesAddress.empty())
     Pages = std::make_unique<http_server>(
         Loop.context(), Settings.PagesAddress, http_server_limits{},
+  if (Settings.ForwardCallers)
+    Server->onLimits([this](http_server_limits &L) { renewLimits(L); });
         [this](const http_request &Request,
                const http_server::responder &Respond) {
           Respond(handleRead(Request));
@@ -156,7 +159,6 @@
   if (!configured())
     return Respond(
         toForwardedResponse(RequestId, not_run{whyNotConfigured()}, Names));
-  applyLimits();
   if (!submit(std::move(Query), {Respond, /*Forwarded=*/true}))
     Respond(toForwardedResponse(RequestId, not_run{"this VM is overloaded"},
                                 Names));
@@ -180,9 +182,15 @@
     Counters.get("query_ring_full_total").add();
 }
 
-void callers_thread::applyLimits() {
+void callers_thread::renewLimits(http_server_limits &Limits) const {
+  if (!configured()) {
+    // What the operator allows is not known: each request is refused as not
+    // run, which a limit must not get in the way of.
+    Limits.HeaderBytes = UnconfiguredHeaderBytes;
+    Limits.BodyBytes = Limits.HeldBodyBytes;
+    return;
+  }
   const caller_limits Told = Status.get()->CallerLimits;
-  http_server_limits &Limits = Server->limits();
   Limits.HeaderBytes = Told.HeaderBytes;
   Limits.BodyBytes = Told.BodyBytes;
   Limits.HeaderTimeout = Told.HeaderTimeout;
--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.h
@@ -69,7 +69,8 @@
   /// Hands \p Query to the engine. \returns whether it took it.
   bool submit(query_arrived Query, pending_request Pending);
   void onCallerGone(query_ticket Ticket);
-  void applyLimits();
+  /// Takes over what the configuration in force says.
+  void renewLimits(http_server_limits &Limits) const;
   http_response handleRead(const http_request &Request) const;
   http_response readPage(const http_request &Request) const;
   bool configured() const;
--- a/packages/net/masticproxy/src/Net/http_server.cpp
+++ b/packages/net/masticproxy/src/Net/http_server.cpp
@@ -71,7 +71,9 @@
   State->Rules->CallerGone = std::move(Gone);
 }
 
-http_server_limits &http_server::limits() { return State->Rules->Limits; }
+void http_server::onLimits(std::function<void(http_server_limits &)> Renew) {
+  State->Rules->Renew = std::move(Renew);
+}
 
 void http_server::endConnectionsAfterResponse() {
   State->EndAfterResponse = true;
--- a/packages/net/masticproxy/src/Net/http_server.h
+++ b/packages/net/masticproxy/src/Net/http_server.h
@@ -55,8 +55,9 @@
   /// response to the request with that serial number.
   void onCallerGone(std::function<void(std::uint64_t)> Gone);
 
-  /// \returns the bounds; a change is in force from the next request on.
-  http_server_limits &limits();
+  /// Sets what brings the bounds up to date: called when a request begins, and
+  /// when a connection has been silent for as long as they allow.
+  void onLimits(std::function<void(http_server_limits &)> Renew);
 
   /// Goes on serving, and ends each connection after its next response.
   void endConnectionsAfterResponse();
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 using namespace masticproxy;
 using namespace masticproxy::internal;
 namespace http = boost::beast::http;
@@ -58,6 +60,7 @@
 }
 
 void http_session::close() {
+  IdleSince.reset();
   boost::system::error_code Ignored;
   Stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both,
                            Ignored);
@@ -65,18 +68,20 @@
 }
 
 void http_session::read() {
-  Parser.emplace();
-  setLimits(*Parser, Rules->Limits.HeaderBytes, Rules->Limits.BodyBytes);
   HeaderLate = false;
   Method = boost::beast::http::verb::unknown;
   // A caller may send its next request early.
   if (Buffer.size() > 0)
     return parseBuffered();
-  Stream.expires_after(Rules->Limits.IdleTimeout);
+  IdleSince = std::chrono::steady_clock::now();
+  awaitIdleEnd();
+  Stream.expires_never();
   Stream.async_read_some(
       Buffer.prepare(FirstReadBytes),
       [Self = shared_from_this()](const boost::system::error_code &Error,
                                   std::size_t Bytes) {
+        Self->IdleSince.reset();
+        Self->Timer.cancel();
         if (Error)
           return Self->close();
         Self->Buffer.commit(Bytes);
@@ -84,7 +89,28 @@
       });
 }
 
+void http_session::awaitIdleEnd() {
+  Timer.expires_at(*IdleSince + Rules->Limits.IdleTimeout);
+  Timer.async_wait(
+      [Self = shared_from_this()](const boost::system::error_code &Error) {
+        if (Error || !Self->IdleSince)
+          return;
+        // Callers go by the limits in force now, not by those of then.
+        Self->Rules->renewLimits();
+        if (Self->Timer.expiry() <
+            *Self->IdleSince + Self->Rules->Limits.IdleTimeout)
+          return Self->awaitIdleEnd();
+        Self->close();
+      });
+}
+
 void http_session::parseBuffered() {
+  Rules->renewLimits();
+  Parser.emplace();
+  setLimits(*Parser, Rules->Limits.HeaderBytes, Rules->Limits.BodyBytes);
+  // The limits may have shrunk since what it holds was read.
+  Buffer.max_size(std::max(Rules->Limits.HeaderBytes + MaxBufferedBytes,
+                           Buffer.size() + FirstReadBytes));
   boost::system::error_code Error;
   Parser->eager(true);
   Buffer.consume(Parser->put(Buffer.data(), Error));
@@ -158,10 +184,13 @@
     return reject(std::move(*Rejection));
   if (Error)
     return close();
+  if (auto Refusal = refusalOf(Parser->get()))
+    return reject(std::move(*Refusal));
   Busy = true;
   Stream.expires_never();
   // Taken before the request is moved out.
   KeepAlive = Parser->keep_alive();
+  Method = Parser->get().method();
   http_request Request = fromBeast(Parser->release());
   Serial = Request.Serial = ++Rules->LastSerial;
   if (Rules->CallerGone)
@@ -190,13 +219,10 @@
       [Self = shared_from_this()](const boost::system::error_code &Error) {
         Self->Watching = false;
         if (Error || !Self->Busy || !Self->callerLeft())
-  Method = Parser->get().method();
           return;
         Self->Rules->CallerGone(Self->Serial);
         Self->close();
       });
-  if (auto Refusal = refusalOf(Parser->get()))
-    return reject(std::move(*Refusal));
 }
 
 bool http_session::callerLeft() {
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -27,19 +27,30 @@
   /// Ends the connection after its next response.
   void endAfterResponse() { Closing = true; }
 
+  /// \returns whether the connection ends after its next response.
+  bool ending() const { return Closing; }
+
   /// Closes the connection after the response that is due, or now if none is.
   void closeWhenIdle();
 
   /// Closes the connection at once.
   void close();
 
+  /// \returns since when the connection awaits a request; empty if it doesn't.
+  std::optional<std::chrono::steady_clock::time_point> idleSince() const {
+    return IdleSince;
+  }
+
 private:
   void read();
+  /// Closes the connection once it was silent for as long as the limits allow.
+  void awaitIdleEnd();
   /// Takes what has come already.
   void parseBuffered();
   void readHeader();
   void readBody();
   void onRead(const boost::system::error_code &Error);
+  void handle(http_request Request);
   /// Finds out when the caller leaves before it has its response.
   void watchCaller();
   bool callerLeft();
@@ -50,7 +61,6 @@
   /// Answers with \p Rejection, and ends the connection.
   void reject(http_response Rejection);
   void respond(http_response Response);
-  void handle(http_request Request);
   void readOutRejected();
   void discard(std::size_t Already);
 
@@ -59,10 +69,13 @@
   boost::beast::flat_buffer Buffer;
   std::optional<http_request_parser> Parser;
   std::optional<beast_response> Out;
-  /// Ends the set-up delay, later the time for a header.
+  std::optional<std::chrono::steady_clock::time_point> IdleSince;
+  /// Ends the set-up delay, later the silence or the time for a header.
   boost::asio::steady_timer Timer;
   bool Busy = false;
   bool Closing = false;
+  /// Of the request under way; unknown until it was read.
+  boost::beast::http::verb Method = boost::beast::http::verb::unknown;
   /// The request under way lets its connection be kept.
   bool KeepAlive = false;
   bool Rejected = false;
@@ -74,8 +87,6 @@
   /// Taken from the budget of the server.
   std::size_t HeldBytes = 0;
 };
-  /// Of the request under way; unknown until it was read.
-  boost::beast::http::verb Method = boost::beast::http::verb::unknown;
 
 } // namespace masticproxy::internal
 
--- a/packages/net/masticproxy/src/Net/session_rules.h
+++ b/packages/net/masticproxy/src/Net/session_rules.h
@@ -14,7 +14,14 @@
   explicit session_rules(http_server_limits NewLimits)
       : Limits(NewLimits), Bodies(NewLimits.HeldBodyBytes) {}
 
+  /// Brings the limits up to date.
+  void renewLimits() {
+    if (Renew)
+      Renew(Limits);
+  }
+
   http_server_limits Limits;
+  std::function<void(http_server_limits &)> Renew;
   /// What the long bodies of requests take together.
   byte_budget Bodies;
   http_server::handler Handler;
