Callers' connections leave descriptors for everything else

Cause: connections were bounded by a setting alone, and an accept that failed was made again without a pause.

--- a/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/callers_thread.cpp
@@ -2,6 +2,7 @@
 
 #include "masticproxy/src/Base/clock.h"
 #include "masticproxy/src/Base/counter_registry.h"
+#include "masticproxy/src/Daemon/descriptor_limit.h"
 #include "masticproxy/src/Daemon/effect_log.h"
 #include "masticproxy/src/Daemon/forwarding.h"
 #include "masticproxy/src/Daemon/outcome_response.h"
@@ -28,6 +29,9 @@
 constexpr std::uint8_t UuidVersion7 = 0x70;
 constexpr std::uint8_t LowNibble = 0x0f;
 
+/// Longest header that is read while there is no configuration.
+constexpr std::size_t UnconfiguredHeaderBytes = 65536;
+
 /// How much longer an idle connection is kept than callers were told.
 constexpr std::chrono::seconds IdleMargin{5};
 
@@ -88,12 +92,12 @@
         else
           handle(std::move(Request), Respond);
       });
+  if (Settings.ForwardCallers)
+    Server->onLimits([this](http_server_limits &L) { renewLimits(L); });
   Server->onCallerGone([this](query_ticket Ticket) { onCallerGone(Ticket); });
   if (!Settings.PagesAddress.empty())
     Pages = std::make_unique<http_server>(
         Loop.context(), Settings.PagesAddress, http_server_limits{},
-  if (Settings.ForwardCallers)
-    Server->onLimits([this](http_server_limits &L) { renewLimits(L); });
         [this](const http_request &Request,
                const http_server::responder &Respond) {
           Respond(handleRead(Request));
@@ -248,6 +252,8 @@
   else if (CutOff())
     // Another data centre's VMs can serve what this one can't.
     Reason = "cut off from the upstreams of the other data centres\n";
+  else if (Server->full())
+    Reason = "no connection is left for callers\n";
   else if (!Newest->SharesSettled)
     Reason = "no share of the upstreams' connections yet\n";
   else
--- a/packages/net/masticproxy/src/Net/http_server.cpp
+++ b/packages/net/masticproxy/src/Net/http_server.cpp
@@ -3,16 +3,26 @@
 #include "masticproxy/src/Net/http_session.h"
 #include "masticproxy/src/Net/tcp_listen.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <list>
 
 using namespace masticproxy;
 using boost::asio::ip::tcp;
 
+namespace {
+
+/// Pause after a connection could not be accepted: an error that lasts must not
+/// take the processor.
+constexpr std::chrono::milliseconds PauseAfterError{50};
+
+} // namespace
+
 /// Shared with the accept handler, which may outlive the server object.
 struct http_server::state : std::enable_shared_from_this<state> {
   state(boost::asio::io_context &Context, http_server_limits Limits,
         handler Handler)
-      : Acceptor(Context),
+      : Acceptor(Context), AcceptPause(Context),
         Rules(std::make_shared<internal::session_rules>(Limits)) {
     Rules->Handler = std::move(Handler);
   }
@@ -23,15 +33,28 @@
                                     tcp::socket Socket) {
           if (!Self->Acceptor.is_open())
             return;
-          if (!Error)
-            Self->add(std::move(Socket));
+          if (Error)
+            return Self->acceptLater();
+          Self->add(std::move(Socket));
           Self->accept();
         });
   }
 
+  /// After an error: no descriptor was left, as a rule.
+  void acceptLater() {
+    closeLongestIdle();
+    AcceptPause.expires_after(PauseAfterError);
+    AcceptPause.async_wait(
+        [Self = shared_from_this()](const boost::system::error_code &) {
+          if (Self->Acceptor.is_open())
+            Self->accept();
+        });
+  }
+
   void add(tcp::socket Socket) {
-    if (count() >= Rules->Limits.Connections)
-      return;
+    bool Room = count() < Rules->Limits.Connections || closeLongestIdle();
+    if (!Room)
+      return endOldestBusy();
     auto Session =
         std::make_shared<internal::http_session>(std::move(Socket), Rules);
     Sessions.push_back(Session);
@@ -40,6 +63,36 @@
     Session->start();
   }
 
+  /// \returns the session that has been idle for longest, or null.
+  std::shared_ptr<internal::http_session> longestIdle() const {
+    std::shared_ptr<internal::http_session> Longest;
+    for (const auto &Weak : Sessions) {
+      auto Session = Weak.lock();
+      if (!Session || !Session->idleSince())
+        continue;
+      if (!Longest || *Session->idleSince() < *Longest->idleSince())
+        Longest = std::move(Session);
+    }
+    return Longest;
+  }
+
+  /// \returns whether there was one.
+  bool closeLongestIdle() {
+    auto Longest = longestIdle();
+    if (Longest)
+      Longest->close();
+    return Longest != nullptr;
+  }
+
+  /// Tells the caller of the oldest connection with its response that it ends.
+  void endOldestBusy() {
+    for (const auto &Weak : Sessions)
+      if (auto Session = Weak.lock(); Session && !Session->ending())
+        return Session->endAfterResponse();
+  }
+
+  bool full() { return count() >= Rules->Limits.Connections && !longestIdle(); }
+
   std::size_t count() {
     Sessions.remove_if([](const auto &Session) { return Session.expired(); });
     return Sessions.size();
@@ -52,6 +105,7 @@
   }
 
   tcp::acceptor Acceptor;
+  boost::asio::steady_timer AcceptPause;
   bool EndAfterResponse = false;
   std::shared_ptr<internal::session_rules> Rules;
   std::list<std::weak_ptr<internal::http_session>> Sessions;
@@ -97,3 +151,5 @@
 }
 
 std::size_t http_server::connections() const { return State->count(); }
+
+bool http_server::full() const { return State->full(); }
--- a/packages/net/masticproxy/src/Net/http_server.h
+++ b/packages/net/masticproxy/src/Net/http_server.h
@@ -22,7 +22,8 @@
   /// Bytes that long bodies hold together, from their arrival to the response;
   /// where they are taken, a further request is refused. Fixed.
   std::size_t HeldBodyBytes = 64U << 20U;
-  /// Connections open at a time; one more is closed at once.
+  /// Connections open at a time. One more ends the one that has been idle for
+  /// longest; where none is idle, it is closed at once.
   std::size_t Connections = 4096;
   /// Silence after which a connection is closed.
   std::chrono::milliseconds IdleTimeout{60000};
@@ -75,6 +76,9 @@
   /// \returns the connections open now.
   std::size_t connections() const;
 
+  /// \returns whether there are as many as allowed, and none is idle.
+  bool full() const;
+
 private:
   struct state;
   std::shared_ptr<state> State;
