--- a/packages/net/masticproxy/src/Net/http_connection.cpp
+++ b/packages/net/masticproxy/src/Net/http_connection.cpp
@@ -216,8 +216,9 @@
   }
 
   void releaseBytes() {
+    std::size_t Held = std::exchange(HeldBytes, 0);
     if (Budget)
-      Budget->giveBack(std::exchange(HeldBytes, 0));
+      Budget->giveBack(Held);
   }
 
   void succeed() {
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -120,7 +120,7 @@
   // Most requests come whole, so that no further read is needed.
   if (Error || Parser->is_done())
     return onRead(Error);
-  readBody();
+  startBody();
 }
 
 void http_session::readHeader() {
@@ -140,14 +140,20 @@
         Self->Timer.cancel();
         if (Error || Self->Parser->is_done())
           return Self->onRead(Error);
-        Self->readBody();
+        Self->startBody();
       });
 }
 
+void http_session::startBody() {
+  // For the whole body: one that trickles in must not hold a connection.
+  Stream.expires_after(Rules->Limits.IdleTimeout);
+  Parser->eager(true);
+  readBody();
+}
+
 void http_session::readBody() {
   if (!holdBytes())
     return reject(bodiesTooLarge());
-  Stream.expires_after(Rules->Limits.IdleTimeout);
   http::async_read_some(
       Stream, Buffer, *Parser,
       [Self = shared_from_this()](const boost::system::error_code &Error,
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -48,6 +48,7 @@
   /// Takes what has come already.
   void parseBuffered();
   void readHeader();
+  void startBody();
   void readBody();
   void onRead(const boost::system::error_code &Error);
   void handle(http_request Request);
