Soak: late copies of responses, and single lost answers to watches

A link sends one response in three again where the next one is expected; the store loses the answer that tells the next configuration. Not run against broken variants yet.

--- a/soak/fault.cpp
+++ b/soak/fault.cpp
@@ -23,6 +23,9 @@
   }
   std::string operator()(const store_down &) { return "store down"; }
   std::string operator()(const store_silent &) { return "store silent"; }
+  std::string operator()(const store_watch_lost &F) {
+    return "answer to a watch lost, of " + F.Kind;
+  }
   std::string operator()(const store_compacted &) { return "store compacted"; }
   std::string operator()(const configuration_written &) {
     return "configuration written";
--- a/soak/fault.h
+++ b/soak/fault.h
@@ -42,6 +42,12 @@
 /// \brief The store answers no call for a while, and never those that it got.
 struct store_silent {};
 
+/// \brief The next answer of the store to a watch that waits is lost.
+struct store_watch_lost {
+  /// Kind of the objects that are watched.
+  std::string Kind;
+};
+
 /// \brief The store forgets its history.
 struct store_compacted {};
 
@@ -73,7 +79,7 @@
     std::variant<vm_killed, vm_terminated, vm_paused, upstream_link_harmed,
                  store_link_harmed, store_down, store_silent, store_compacted,
                  configuration_written, upstream_drained, upstream_slowed,
-                 upstream_refusing, upstream_failing>;
+                 upstream_refusing, upstream_failing, store_watch_lost>;
 
 /// \brief A fault with its time.
 struct planned_fault {
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -25,6 +25,12 @@
 constexpr unsigned MostSilences = 2;
 constexpr unsigned SilenceStream = 0x51000000;
 
+/// The same for copies of responses and for lost answers to watches.
+constexpr unsigned MostCopyings = 4;
+constexpr unsigned CopyingStream = 0x52000000;
+constexpr unsigned MostLostWatches = 2;
+constexpr unsigned LostWatchStream = 0x53000000;
+
 /// \brief Draws faults from one seed.
 class fault_draws {
 public:
@@ -103,6 +109,29 @@
                     store_silent{}});
 }
 
+/// Adds links that send responses twice.
+void addCopyings(std::vector<planned_fault> &Plan, const soak_options &Options,
+                 unsigned Upstreams) {
+  fault_draws Draws(Options, Upstreams, CopyingStream);
+  auto LastMs =
+      static_cast<unsigned>(std::chrono::milliseconds(Options.Length).count());
+  for (unsigned Left = Draws.number(1, MostCopyings); Left > 0; --Left)
+    Plan.push_back({Draws.span(0, LastMs), Draws.span(ShortestMs, LongestMs),
+                    upstream_link_harmed{Draws.number(0, Upstreams - 1),
+                                         link_mode::Copying}});
+}
+
+/// Adds single answers of the store that are lost.
+void addLostWatches(std::vector<planned_fault> &Plan,
+                    const soak_options &Options) {
+  fault_draws Draws(Options, /*Upstreams=*/1, LostWatchStream);
+  auto LastMs =
+      static_cast<unsigned>(std::chrono::milliseconds(Options.Length).count());
+  for (unsigned Left = Draws.number(0, MostLostWatches); Left > 0; --Left)
+    Plan.push_back(
+        {Draws.span(0, LastMs), milliseconds(0), store_watch_lost{"config"}});
+}
+
 } // namespace
 
 std::vector<planned_fault>
@@ -121,6 +150,8 @@
     }
   }
   addSilences(Plan, Options);
+  addCopyings(Plan, Options, Upstreams);
+  addLostWatches(Plan, Options);
   std::stable_sort(Plan.begin(), Plan.end(),
                    [](const planned_fault &A, const planned_fault &B) {
                      return A.At < B.At;
--- a/soak/link_mode.h
+++ b/soak/link_mode.h
@@ -15,6 +15,8 @@
   OneWay,
   /// Accepts connections and drops all bytes, without a reset.
   Silent,
+  /// Sends some responses a second time, late: where the next one is expected.
+  Copying,
 };
 
 /// \returns the name of \p Mode, as reports give it.
@@ -30,6 +32,8 @@
     return "one_way";
   case link_mode::Silent:
     return "silent";
+  case link_mode::Copying:
+    return "copying";
   }
   return "unknown";
 }
--- a/soak/link_session.cpp
+++ b/soak/link_session.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <utility>
+
 using namespace masticproxy::soak;
 using boost::asio::ip::tcp;
 using error = boost::system::error_code;
@@ -13,6 +15,9 @@
 /// the site, less than the time-out of a request.
 constexpr std::chrono::milliseconds LinkDelay{400};
 
+/// A link that copies does so with one response in this many.
+constexpr unsigned CopyEach = 3;
+
 /// Time after which a process finds a silent connection dead by the keep-alive
 /// probes of its kernel. This proxy's own kernel answers them, which a silent
 /// network would not, so that the proxy has to end the connection.
@@ -85,6 +90,10 @@
 void link_session::passOn(pipe &Pipe, std::size_t Bytes) {
   if (Pipe.Dropping)
     return read(Pipe);
+  if (&Pipe == &Responses)
+    LastResponse.append(Pipe.Chunk.data(), Bytes);
+  else if (copyResponse(Bytes))
+    return;
   if (Mode != link_mode::Delayed)
     return write(Pipe, Bytes);
   Pipe.Timer->expires_after(LinkDelay);
@@ -93,6 +102,20 @@
   });
 }
 
+bool link_session::copyResponse(std::size_t RequestBytes) {
+  Copy = std::exchange(LastResponse, {});
+  bool Due = Mode == link_mode::Copying && !Copy.empty() &&
+             ++RequestsSeen % CopyEach == 0;
+  if (!Due)
+    return false;
+  boost::asio::async_write(
+      Caller, boost::asio::buffer(Copy),
+      [Self = shared_from_this(), RequestBytes](const error &E, std::size_t) {
+        return E ? Self->close() : Self->write(Self->Requests, RequestBytes);
+      });
+  return true;
+}
+
 void link_session::write(pipe &Pipe, std::size_t Bytes) {
   boost::asio::async_write(
       *Pipe.Into, boost::asio::buffer(Pipe.Chunk.data(), Bytes),
--- a/soak/link_session.h
+++ b/soak/link_session.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <chrono>
 #include <memory>
+#include <string>
 
 namespace masticproxy::soak {
 
@@ -42,6 +43,9 @@
   void read(pipe &Pipe);
   void passOn(pipe &Pipe, std::size_t Bytes);
   void write(pipe &Pipe, std::size_t Bytes);
+  /// Sends the last response again before a request is passed on, if it is time
+  /// for that. \returns whether it does.
+  bool copyResponse(std::size_t RequestBytes);
   void close();
   void awaitKeepAlive();
 
@@ -50,6 +54,10 @@
   boost::asio::steady_timer KeepAlive;
   link_mode Mode;
   bool Silent = false;
+  /// What came back since the last request.
+  std::string LastResponse;
+  std::string Copy;
+  unsigned RequestsSeen = 0;
   pipe Requests;
   pipe Responses;
 };
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -227,6 +227,16 @@
   });
 }
 
+void soak_run::harm(const store_watch_lost &Fault, duration) {
+  Site.Store.loseNextWatch(Fault.Kind);
+  // The change whose answer is lost comes at once.
+  Book.store().struck(Clock.now());
+  if (Fault.Kind == "config")
+    writeConfiguration();
+  // Where no VM waits for it, no answer is lost.
+  after(LookInterval, [this] { Site.Store.loseNoWatch(); });
+}
+
 void soak_run::harm(const store_compacted &, duration) { Site.Store.compact(); }
 
 void soak_run::harm(const configuration_written &, duration) {
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -43,6 +43,7 @@
   void harm(const store_link_harmed &Fault, duration Span);
   void harm(const store_down &Fault, duration Span);
   void harm(const store_silent &Fault, duration Span);
+  void harm(const store_watch_lost &Fault, duration Span);
   void harm(const store_compacted &Fault, duration Span);
   void harm(const configuration_written &Fault, duration Span);
   void harm(const upstream_drained &Fault, duration Span);
