Upstreams that leave or want a pause are kept to by their own word

The product's words are a leaving process and a pause (upstream_status), learned from a response before its meaning for the attempt. excluded_processes holds them with misdirections, by process and address: another start, or another process at the address, is free; the list of upstreams and new versions alter nothing. No first attempt, retry or hedge goes there; idle connections to a leaving one are closed; what was queued before the word asks again (upstreams_thread). Where no upstream is left the request is refused at once; where all pause beyond the time in which an answer counts, with a Retry-After that says when the first takes requests again. The end of a pause is ramped up and bounded by what was open at the refusal. Values that can't be read are counted, a minute is the most that is believed.

--- a/packages/core/masticproxy/src/Discovery/catalogue_builder.cpp
+++ b/packages/core/masticproxy/src/Discovery/catalogue_builder.cpp
@@ -23,6 +23,7 @@
   Replica.Connections = Connections;
   Replica.Instance = Entry.Instance;
   Replica.Process = processOf(Entry);
+  Replica.StartKnown = Entry.Started.count() > 0;
   return Replica;
 }
 
--- a/packages/core/masticproxy/src/Query/engine_command.h
+++ b/packages/core/masticproxy/src/Query/engine_command.h
@@ -35,6 +35,8 @@
   std::shared_ptr<const forwarded_request> Forwarded = {};
   /// Required identity of the upstream; empty: any.
   std::string Instance = {};
+  /// The upstream's process, as replica::process() names it.
+  std::string Process = {};
 };
 
 /// \brief Ask the upstream to stop an attempt whose result is not needed.
--- a/packages/core/masticproxy/src/Query/engine_event.h
+++ b/packages/core/masticproxy/src/Query/engine_event.h
@@ -7,6 +7,7 @@
 #include "masticproxy/src/Poison/poison_notice.h"
 #include "masticproxy/src/Poison/suspicion_ended.h"
 #include "masticproxy/src/Query/partial_answer.h"
+#include "masticproxy/src/Query/upstream_status.h"
 #include "masticproxy/src/Relay/relay_cancel.h"
 #include "masticproxy/src/Relay/relay_end.h"
 #include "masticproxy/src/Relay/relay_request.h"
@@ -142,7 +143,7 @@
                  catalogue_changed, timer_fired, leave_planned, leave_started,
                  relay_failed, relay_arrived, relay_cancelled, relays_closed,
                  claim_decision, poison_notice, suspicion_ended, drain_notice,
-                 caller_left, upstream_probed>;
+                 caller_left, upstream_probed, upstream_status>;
 
 } // namespace masticproxy
 
--- a/packages/core/masticproxy/src/Query/index_map.h
+++ b/packages/core/masticproxy/src/Query/index_map.h
@@ -25,6 +25,8 @@
   /// Names one start of the upstream's process, also where the identity stays;
   /// empty if it is not known.
   std::string Process = {};
+  /// Whether that name tells this start from each other one.
+  bool StartKnown = false;
 
   /// \returns the name of the process: its address if no other is known.
   std::string_view process() const {
--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -204,6 +204,10 @@
     finishWith(Run, caller_gone{});
 }
 
+void query_engine::on(const upstream_status &Event) {
+  Upstreams.onStatus(Event, Clock.now());
+}
+
 void query_engine::on(const upstream_probed &Event) {
   if (Event.Reached)
     Reach.recordResponse(Event.Upstream);
@@ -243,8 +247,8 @@
   if (!Run.needsAttempt(Shard))
     return;
   std::span<const replica> Replicas = replicasOf(Run, Shard);
-  if (Run.forwardRoute() && !Upstreams.anySelectable(Replicas))
-    return Run.abandonShard(Shard, gap_cause::OutOfReach);
+  if (abandonUnserved(Run, Shard))
+    return;
   if (Run.forwardRoute() && Run.isUnreachable(Shard, Replicas.size()))
     return Run.abandonShard(Shard, gap_cause::NotConnected);
   bool Retry = Run.wasAttempted(Shard);
@@ -308,11 +312,11 @@
   Added.first->second.Signed = Run.forwardRoute() != nullptr;
   if (Run.pinnedProfile().MayRepeat && Kind != attempt_kind::Hedge)
     scheduleHedge(Attempt, Added.first->second);
-  Commands.push_back(send_attempt{Attempt, Run.requestId(), Target.Address,
-                                  Run.indexName(), Run.snapshot().Id,
-                                  Run.snapshot().Shards[Shard].Id, Run.body(),
-                                  Run.deadline(), Kind, Target.Connections,
-                                  Run.forwarded(), Target.Instance});
+  Commands.push_back(send_attempt{
+      Attempt, Run.requestId(), Target.Address, Run.indexName(),
+      Run.snapshot().Id, Run.snapshot().Shards[Shard].Id, Run.body(),
+      Run.deadline(), Kind, Target.Connections, Run.forwarded(),
+      Target.Instance, std::string(Target.process())});
 }
 
 void query_engine::startWaiting(std::optional<waiting_shard> Next) {
--- a/packages/core/masticproxy/src/Query/query_engine.h
+++ b/packages/core/masticproxy/src/Query/query_engine.h
@@ -143,6 +143,7 @@
   void on(const drain_notice &Event);
   void on(const caller_left &Event);
   void on(const upstream_probed &Event);
+  void on(const upstream_status &Event);
   /// Checks whether a network partition has begun or ended, and probes
   /// upstreams.
   void updateReachability();
@@ -160,6 +161,9 @@
   /// Abandons the shards of a forwarded request that no reachable upstream
   /// serves, before the first attempt.
   void abandonUnservedShards(query_run &Run);
+  /// Abandons a shard that no upstream can serve in time. \returns
+  /// whether it did.
+  bool abandonUnserved(query_run &Run, std::size_t Shard);
   /// Called when an attempt ended without a result.
   void onFailure(const attempt_record &Record, const attempt_failed &Event);
   /// Called at due() of a run. Finishes it if its deadline has passed or its
--- a/packages/core/masticproxy/src/Query/query_engine_forward.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_forward.cpp
@@ -18,9 +18,22 @@
 }
 
 void query_engine::abandonUnservedShards(query_run &Run) {
-  if (!Run.forwardRoute())
-    return;
   for (std::size_t I = 0; I < Run.snapshot().Shards.size(); ++I)
-    if (!Upstreams.anySelectable(replicasOf(Run, I)))
-      Run.abandonShard(I, gap_cause::OutOfReach);
+    abandonUnserved(Run, I);
+}
+
+bool query_engine::abandonUnserved(query_run &Run, std::size_t Shard) {
+  if (!Run.forwardRoute())
+    return false;
+  time_point Now = Clock.now();
+  std::optional<time_point> Next =
+      Upstreams.nextAvailable(replicasOf(Run, Shard), Now);
+  // One that pauses is waited for where its answer could still be in time.
+  if (Next && *Next <= std::max(Now, Run.due()))
+    return false;
+  Run.abandonShard(Shard, gap_cause::OutOfReach);
+  if (Next)
+    Run.setRetryAfter(
+        std::chrono::ceil<std::chrono::milliseconds>(*Next - Now));
+  return true;
 }
--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -186,7 +186,7 @@
     return not_run{"no claim was confirmed within the profile's wait"};
   if (nothingRan() && cannotReachCoverage())
     return not_run{"no upstream that serves it can be reached, or takes it",
-                   UnreachableRetryAfter};
+                   RetryAfter.value_or(UnreachableRetryAfter)};
   if (nothingRan())
     return not_run{"no upstream took the request within the profile's wait"};
   if (!Profile.MayRepeat)
--- a/packages/core/masticproxy/src/Query/query_run.h
+++ b/packages/core/masticproxy/src/Query/query_run.h
@@ -125,6 +125,11 @@
     Shards[Shard].Abandoned = Cause;
   }
 
+  /// Sets when an upstream of an abandoned shard takes requests again.
+  void setRetryAfter(std::chrono::milliseconds Span) {
+    RetryAfter = std::max(RetryAfter.value_or(Span), Span);
+  }
+
   /// \returns whether none of the shard's \p Replicas upstreams can be reached:
   /// consecutive attempts, enough to try each of them repeatedly, were not
   /// sent.
@@ -254,6 +259,8 @@
   std::optional<shard_result> Failure;
   partial_answer Partial;
   std::vector<shard_state> Shards;
+  /// When its abandoned shards can be served again, if that is known.
+  std::optional<std::chrono::milliseconds> RetryAfter;
   run_claim Claim;
   unsigned Generation = 0;
   std::size_t Attempts = 0;
--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -9,14 +9,6 @@
 
 namespace {
 
-/// How long a process is not asked at an address where another one answered.
-/// The next attempt finds out anew, as what is listed may have changed.
-constexpr std::chrono::seconds MisdirectedMemory{30};
-
-std::string placeOf(std::string_view Process, std::string_view Address) {
-  return std::string(Process) + "@" + std::string(Address);
-}
-
 /// How long an upstream that reset a connection is assumed to be full.
 constexpr std::chrono::milliseconds AtLimitMemory{10000};
 
@@ -81,16 +73,12 @@
                     Policy);
 }
 
-bool upstream_table::anySelectable(std::span<const replica> Replicas) const {
-  return std::any_of(Replicas.begin(), Replicas.end(),
-                     [this](const replica &One) { return isSelectable(One); });
-}
-
 bool upstream_table::anyAvailableBy(std::span<const replica> Replicas,
                                     time_point Latest) const {
   return std::any_of(
       Replicas.begin(), Replicas.end(), [&](const replica &Candidate) {
-        if (!isSelectable(Candidate))
+        bool Excludes = Excluded.excludes(Candidate, Latest);
+        if (!isSelectable(Candidate) || Excludes)
           return false;
         if (ReceivedNotices.excludes(Candidate.Address, Latest))
           return false;
@@ -145,20 +133,25 @@
   stateOf(Upstream, Now).AtLimitUntil = Now + AtLimitMemory;
 }
 
-void upstream_table::misdirected(std::string_view Process,
-                                 std::string_view Address, time_point Now) {
-  std::erase_if(MisdirectedUntil,
-                [Now](const auto &Entry) { return Entry.second <= Now; });
-  MisdirectedUntil[placeOf(Process, Address)] = Now + MisdirectedMemory;
+void upstream_table::onStatus(const upstream_status &Status, time_point Now) {
+  Excluded.onStatus(Status, Now);
+  // Those who wait for the end of a pause must not come all at once.
+  if (Status.RetryAfter)
+    stateOf(Status.Address, Now).Health.rampUpFrom(Now + *Status.RetryAfter);
 }
 
-bool upstream_table::isMisdirected(const replica &Replica,
-                                   time_point Now) const {
-  if (MisdirectedUntil.empty())
-    return false;
-  auto Found =
-      MisdirectedUntil.find(placeOf(Replica.process(), Replica.Address));
-  return Found != MisdirectedUntil.end() && Found->second > Now;
+std::optional<time_point>
+upstream_table::nextAvailable(std::span<const replica> Replicas,
+                              time_point Now) const {
+  std::optional<time_point> Next;
+  for (const replica &Replica : Replicas) {
+    if (!isSelectable(Replica))
+      continue;
+    time_point Until = Excluded.excludedUntil(Replica, Now);
+    if (Until != time_point::max())
+      Next = std::min(Next.value_or(Until), Until);
+  }
+  return Next;
 }
 
 void upstream_table::abandoned(const attempt_facts &Attempt, time_point Now) {
@@ -191,7 +184,7 @@
   std::vector<candidate> Set;
   bool AnyReportedDraining = false;
   for (const replica &Replica : Replicas) {
-    if (!isSelectable(Replica) || isMisdirected(Replica, Now))
+    if (!isSelectable(Replica) || Excluded.excludes(Replica, Now))
       continue;
     upstream_state &State = stateOf(Replica, Now);
     bool WasTried =
--- a/packages/core/masticproxy/src/Query/upstream_table.h
+++ b/packages/core/masticproxy/src/Query/upstream_table.h
@@ -9,6 +9,7 @@
 #include "masticproxy/src/Routing/attempt_facts.h"
 #include "masticproxy/src/Routing/attempt_rate.h"
 #include "masticproxy/src/Routing/candidate.h"
+#include "masticproxy/src/Routing/excluded_processes.h"
 #include "masticproxy/src/Routing/routing_policy.h"
 #include "masticproxy/src/Routing/upstream_health.h"
 
@@ -39,10 +40,6 @@
   /// Sets whether the upstreams of all data centres may be chosen.
   void setAllDataCentres(bool Direct) { AllDataCentres = Direct; }
 
-  /// \returns whether any of \p Replicas is in a data centre whose upstreams
-  /// may be chosen.
-  bool anySelectable(std::span<const replica> Replicas) const;
-
   /// Sets whether an upstream is avoided for a while if an attempt there was
   /// abandoned after the hedge delay or later.
   void setSuspectSlow(bool Suspect) { SuspectSlow = Suspect; }
@@ -117,7 +114,17 @@
   /// Records that another process than \p Process answered at \p Address. It
   /// gets no attempts there for a while; another start of it does.
   void misdirected(std::string_view Process, std::string_view Address,
-                   time_point Now);
+                   time_point Now) {
+    Excluded.onMisdirected(Process, Address, Now);
+  }
+
+  /// Records what a process says of itself.
+  void onStatus(const upstream_status &Status, time_point Now);
+
+  /// \returns the earliest time at which any of \p Replicas may get an attempt,
+  /// in the past if one may now; empty if none ever may.
+  std::optional<time_point> nextAvailable(std::span<const replica> Replicas,
+                                          time_point Now) const;
 
   /// Records that this VM abandoned an attempt before it ended.
   void abandoned(const attempt_facts &Attempt, time_point Now);
@@ -154,7 +161,6 @@
     return AllDataCentres || Replica.DataCentre == DataCentre;
   }
 
-  bool isMisdirected(const replica &Replica, time_point Now) const;
   std::vector<candidate> candidates(std::span<const replica> Replicas,
                                     std::span<const std::string> Tried,
                                     time_point Now);
@@ -181,8 +187,7 @@
   double AttemptsPerConnection = 0;
   std::shared_ptr<const connection_grant> Grant;
   std::map<std::string, upstream_state, std::less<>> States;
-  /// Until when processes are not asked at addresses where others answered.
-  std::map<std::string, time_point> MisdirectedUntil;
+  excluded_processes Excluded;
 };
 
 } // namespace masticproxy
--- a/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_rings.h
@@ -59,8 +59,8 @@
 using upstream_command =
     std::variant<send_attempt, cancel_attempt, release_attempt, probe_upstream>;
 /// From the upstreams duty to the engine.
-using upstream_event =
-    std::variant<attempt_answered, attempt_failed, upstream_probed>;
+using upstream_event = std::variant<attempt_answered, attempt_failed,
+                                    upstream_probed, upstream_status>;
 /// From the engine to the relay duty.
 using relay_command = std::variant<send_relay, cancel_relay, answer_relay>;
 /// From the relay duty to the engine.
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -4,7 +4,9 @@
 #include "masticproxy/src/Daemon/forwarding.h"
 #include "masticproxy/src/Daemon/upstream_check.h"
 #include "masticproxy/src/Daemon/upstream_protocol.h"
+#include "masticproxy/src/Daemon/upstream_status_reading.h"
 #include "masticproxy/src/Net/byte_budget.h"
+#include "masticproxy/src/Net/http_status.h"
 
 #include <algorithm>
 
@@ -29,6 +31,9 @@
 /// several times the pause between the requests of a VM that gets few.
 constexpr std::chrono::seconds LongestUnused{5};
 
+/// Longest time that a command of the engine's is reckoned to wait here.
+constexpr std::chrono::seconds LongestQueued{10};
+
 /// HTTP statuses from here on mean that the upstream failed.
 constexpr unsigned FirstServerError = 500;
 
@@ -69,7 +74,13 @@
       Command.Deadline - Clock.now());
   if (Remaining.count() <= 0)
     return report(attempt_failed{Attempt, attempt_failure::NotSent});
-  Connections[Command.Upstream].Limit = Command.Connections;
+  upstream_connections &Held = Connections[Command.Upstream];
+  Held.Limit = Command.Connections;
+  // Decided before the upstream said that it wants no more, and queued since.
+  bool Unwanted =
+      Held.Refusing == Command.Process && Clock.now() < Held.RefusingUntil;
+  if (Unwanted)
+    return report(attempt_failed{Attempt, attempt_failure::NotSent});
   connection Connection = takeConnection(Command);
   if (!Connection) {
     // The share shrank after the engine had decided.
@@ -130,6 +141,7 @@
   Open.erase(Found);
   if (auto *Response = std::get_if<http_response>(&Result)) {
     Connections[Ended.Command.Upstream].LastResponse = Clock.now();
+    noteStatus(Ended.Command, *Response);
     upstream_event Event = read(Ended, std::move(*Response));
     recordUnanswered(Ended.Command, Event);
     giveBack(Ended.Command.Upstream, std::move(Ended.Connection));
@@ -182,6 +194,30 @@
   return attempt_failed{Command.Attempt, attempt_failure::Unknown};
 }
 
+void upstreams_thread::noteStatus(const send_attempt &Command,
+                                  const http_response &Response) {
+  upstream_status Status = readUpstreamStatus(Command, Response, Names);
+  bool Unreadable = Response.Status == StatusUnavailable &&
+                    !Status.RetryAfter &&
+                    !findHeader(Response.Headers, "retry-after").empty();
+  if (Unreadable)
+    Counters.get("upstream_retry_after_unreadable_total").add();
+  if (!Status.any())
+    return;
+  upstream_connections &Held = Connections[Command.Upstream];
+  Held.Refusing = Command.Process;
+  Held.RefusingUntil =
+      Clock.now() +
+      (Status.Leaving ? LongestQueued
+                      : std::min<duration>(*Status.RetryAfter, LongestQueued));
+  if (Status.Leaving) {
+    Counters.get("upstreams_leaving_total").add();
+    while (!Held.Idle.empty())
+      Held.Idle.closeOldest();
+  }
+  report(std::move(Status));
+}
+
 void upstreams_thread::recordUnanswered(const send_attempt &Command,
                                         const upstream_event &Event) {
   const auto *Answered = std::get_if<attempt_answered>(&Event);
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.h
@@ -63,6 +63,10 @@
     /// Requests to which the upstream responded with something else than a
     /// result; each may be sent again, over another connection only.
     pending_ids Unanswered;
+    /// The process that said it leaves or wants a pause, and until when what
+    /// was queued before is not sent there.
+    std::string Refusing;
+    time_point RefusingUntil{};
   };
 
   struct open_attempt {
@@ -82,6 +86,8 @@
   /// Says what \p Response to \p Ended means.
   upstream_event read(const open_attempt &Ended, http_response Response);
   void report(upstream_event Event);
+  /// Reports what \p Response says of the upstream itself.
+  void noteStatus(const send_attempt &Command, const http_response &Response);
   /// Remembers the request of \p Command if it may be sent again after
   /// \p Event.
   void recordUnanswered(const send_attempt &Command,
--- a/packages/daemon/tests/upstreams_thread_test.cpp
+++ b/packages/daemon/tests/upstreams_thread_test.cpp
@@ -13,6 +13,7 @@
 
 #include <optional>
 #include <string>
+#include <thread>
 
 using namespace masticproxy;
 using std::chrono::milliseconds;
@@ -44,6 +45,7 @@
     Command.Upstream = Upstream;
     Command.Deadline = Clock.now() + LongEnough;
     Command.Connections = Connections;
+    Command.Process = "process";
     auto Request = std::make_shared<forwarded_request>();
     Request->Method = "POST";
     Request->Target = "/";
@@ -52,11 +54,18 @@
     Sent.commands().push(std::move(Command));
     std::optional<upstream_event> Event;
     while (!Event)
-      Ended.drain([&](upstream_event E) { Event = std::move(E); });
+      Ended.drain([&](upstream_event E) {
+        if (auto *Status = std::get_if<upstream_status>(&E))
+          Statuses.push_back(std::move(*Status));
+        else
+          Event = std::move(E);
+      });
     const auto *Failed = std::get_if<attempt_failed>(&*Event);
     return Failed ? std::optional(Failed->Failure) : std::nullopt;
   }
 
+  std::vector<upstream_status> Statuses;
+
 private:
   std::string Upstream;
   os_clock Clock;
@@ -121,3 +130,28 @@
   cr_assert(not Attempts.failureOf("c"));
   cr_assert(Upstream.connections() == 2);
 }
+
+// An attempt that was queued before the upstream said that it leaves, as by a
+// process that was paused, is not sent there.
+Test(upstreams, send_nothing_that_was_queued_to_an_upstream_that_leaves) {
+  scripted_upstream Upstream(
+      {response("200 OK", "a", "x-signature: s\r\nx-leaving")});
+  attempts Attempts(Upstream.address());
+  cr_assert(not Attempts.failureOf("a"));
+  cr_assert(Attempts.Statuses.size() == 1 && Attempts.Statuses[0].Leaving);
+  cr_assert(Attempts.Statuses[0].Process == "process");
+  cr_assert(Attempts.failureOf("b") == attempt_failure::NotSent);
+}
+
+Test(upstreams, send_nothing_that_was_queued_to_an_upstream_that_pauses) {
+  scripted_upstream Upstream(
+      {"HTTP/1.1 503 Unavailable\r\ncontent-length: 0\r\nx-request-id: a\r\n"
+       "x-not-run: 1\r\nretry-after: 0.3\r\n\r\n",
+       result("c")});
+  attempts Attempts(Upstream.address());
+  cr_assert(Attempts.failureOf("a") == attempt_failure::Refused);
+  cr_assert(Attempts.Statuses.size() == 1);
+  cr_assert(Attempts.failureOf("b") == attempt_failure::NotSent);
+  std::this_thread::sleep_for(milliseconds(350));
+  cr_assert(not Attempts.failureOf("c"));
+}
--- a/packages/net/masticproxy/src/Net/forwarding_names.h
+++ b/packages/net/masticproxy/src/Net/forwarding_names.h
@@ -18,6 +18,8 @@
   std::string_view Signature = "x-signature";
   /// Present where an upstream did not run the request.
   std::string_view NotRun = "x-not-run";
+  /// Present where an upstream is leaving.
+  std::string_view Leaving = "x-leaving";
   /// Signatures of the results in a merged answer.
   std::string_view Signatures = "x-signatures";
   /// Number of shards that a merged answer lacks.
