--- a/packages/net/masticproxy/src/Net/held_call.cpp
+++ b/packages/net/masticproxy/src/Net/held_call.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
+
 using namespace masticproxy;
 
 namespace {
@@ -42,9 +44,9 @@
   }
 
   /// Sends \p Request, and hands its answer to \p Read.
-  template <typename Reader> void ask(http_request Request, Reader Read) {
+  void ask(http_request Request, std::function<void(http_response)> Read) {
     Probing.exchange(std::move(Request), Probe.Timeout,
-                     [this, Read](exchange_result Answer) {
+                     [this, Read = std::move(Read)](exchange_result Answer) {
                        if (auto *Response = std::get_if<http_response>(&Answer))
                          return Read(std::move(*Response));
                        end(exchange_error{true, "silent when it was called"});
--- a/packages/net/tests/http_connections_test.cpp
+++ b/packages/net/tests/http_connections_test.cpp
@@ -75,6 +75,7 @@
   Limits.Connections = 3;
   one_loop Loop(Limits);
   std::vector<tcp::socket> Callers;
+  Callers.reserve(4);
   for (int I = 0; I < 3; ++I)
     Callers.push_back(Loop.connect());
   cr_assert(not Loop.ask(Callers[0], Get).empty());
--- a/packages/net/tests/http_long_request_test.cpp
+++ b/packages/net/tests/http_long_request_test.cpp
@@ -74,7 +74,10 @@
     tcp::socket Caller(Context);
     Caller.connect(Server.endpoint());
     std::string Filling(1U << 20U, *Part == 0 ? '0' : 'e');
-    send(Caller, Head + Part + Filling);
+    std::string Text = Head;
+    Text += Part;
+    Text += Filling;
+    send(Caller, Text);
     std::string Line = statusLine(Caller);
     cr_assert(Line.starts_with("HTTP/1.1 400"), "%s after %s", Line.c_str(),
               Part);
