--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -93,6 +93,9 @@
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
 }
 
+// A sanitizer's own start comes later, and must come before any code that it
+// watches.
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
 /// The same by a plain system call, as it runs before any library's own start.
 void blockSignalsEarly() {
   sigset_t Signals = awaitedSignals();
@@ -103,6 +106,7 @@
 // The libraries' own start takes longer than this program's.
 [[gnu::section(".preinit_array"),
   gnu::used]] void (*const BlockSignalsEarly)() = blockSignalsEarly;
+#endif
 
 int run(int ArgCount, char **Args) {
   // Before any thread inherits the mask.
