--- a/packages/core/masticproxy/src/Query/upstream_table.cpp
+++ b/packages/core/masticproxy/src/Query/upstream_table.cpp
@@ -134,10 +134,10 @@
 }
 
 void upstream_table::onStatus(const upstream_status &Status, time_point Now) {
-  Excluded.onStatus(Status, Now);
+  time_point PausedUntil = Excluded.onStatus(Status, Now);
   // Those who wait for the end of a pause must not come all at once.
-  if (Status.RetryAfter)
-    stateOf(Status.Address, Now).Health.rampUpFrom(Now + *Status.RetryAfter);
+  if (PausedUntil > Now)
+    stateOf(Status.Address, Now).Health.rampUpFrom(PausedUntil);
 }
 
 std::optional<time_point>
--- a/packages/core/masticproxy/src/Routing/excluded_processes.cpp
+++ b/packages/core/masticproxy/src/Routing/excluded_processes.cpp
@@ -27,15 +27,16 @@
 
 } // namespace
 
-void excluded_processes::onStatus(const upstream_status &Status,
-                                  time_point Now) {
+time_point excluded_processes::onStatus(const upstream_status &Status,
+                                        time_point Now) {
   record &Record = recordOf(Status.Process, Status.Address, Now);
   if (Status.Leaving)
     Record.LeavingSaidAt = Now;
   if (!Status.RetryAfter)
-    return;
+    return Record.PausedUntil;
   duration Pause = std::min<duration>(*Status.RetryAfter, LongestPause);
   Record.PausedUntil = std::max(Record.PausedUntil, Now + Pause);
+  return Record.PausedUntil;
 }
 
 void excluded_processes::onMisdirected(std::string_view Process,
--- a/packages/core/masticproxy/src/Routing/excluded_processes.h
+++ b/packages/core/masticproxy/src/Routing/excluded_processes.h
@@ -17,8 +17,9 @@
 /// process stands in for. Other processes at these addresses are free.
 class excluded_processes {
 public:
-  /// Records what a process says of itself.
-  void onStatus(const upstream_status &Status, time_point Now);
+  /// Records what a process says of itself. \returns the end of its pause, in
+  /// the past if there is none.
+  time_point onStatus(const upstream_status &Status, time_point Now);
 
   /// Records that another process than \p Process answered at \p Address.
   void onMisdirected(std::string_view Process, std::string_view Address,
