A refused probe puts the checks of a held watch off

Seen once, in the fifth run of all tests: platform_users_path_test:asks_a_store_that_ is_down_for_one_of_both_kinds counted more than 12 calls in 6 s of an outage. Cause, by reading: the list of suspicions comes from a copy and counts as 2 s old, so that a check was due within the second that a watch lasts there, beside the probe, and both were refused. A store that refuses the probe is not asked again at once; the bound of the test stays. net_held_call_test:makes_no_check_soon_after_a_refused_probe.

--- a/packages/net/masticproxy/src/Net/held_call.cpp
+++ b/packages/net/masticproxy/src/Net/held_call.cpp
@@ -1,5 +1,7 @@
 #include "masticproxy/src/Net/held_call.h"
 
+#include "masticproxy/src/Net/http_status.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -56,8 +58,12 @@
   // What the other end got while it answers is answered later, also if it is
   // silent in between: one probe shows that it got the call.
   void probe() {
-    ask(std::move(Probe.Request),
-        [this](const http_response &) { awaitCheck(); });
+    ask(std::move(Probe.Request), [this](const http_response &Response) {
+      // Each call costs an end that refuses all of them.
+      if (Response.Status == StatusOk)
+        return awaitCheck();
+      awaitCheckAfterRefusal();
+    });
   }
 
   // An answer that is lost on its way gives no sign: only further requests show
@@ -77,10 +83,16 @@
         return end(std::move(Response));
       if (Check.Due() > Now)
         return awaitCheck();
-      at(Now + RefusedCheckPause, [this] { check(); });
+      awaitCheckAfterRefusal();
     });
   }
 
+  void awaitCheckAfterRefusal() {
+    if (Check.Due)
+      at(std::chrono::steady_clock::now() + RefusedCheckPause,
+         [this] { check(); });
+  }
+
   exchange_result Result = exchange_error{true, "stopped"};
   boost::asio::io_context Context;
   http_connection Held;
--- a/packages/net/tests/held_call_test.cpp
+++ b/packages/net/tests/held_call_test.cpp
@@ -32,6 +32,8 @@
                    return check(Respond);
                  if (Request.Target == "/probe") {
                    ++Probes;
+                   if (RefusesProbes)
+                     return refuse(Respond);
                    return answer(Respond, AnswersProbes ? milliseconds(1)
                                                         : milliseconds(0));
                  }
@@ -43,6 +45,12 @@
     Thread.join();
   }
 
+  void refuse(const http_server::responder &Respond) {
+    http_response Response;
+    Response.Status = 503;
+    Respond(std::move(Response));
+  }
+
   void answer(const http_server::responder &Respond, milliseconds After) {
     if (After == milliseconds(0))
       return Kept.push_back(Respond);
@@ -79,6 +87,7 @@
   std::atomic<int> Probes{0};
   std::atomic<int> Checks{0};
   int SilentFrom = 1000;
+  bool RefusesProbes = false;
   std::string Answer;
   http_server Server;
   std::thread Thread;
@@ -135,6 +144,14 @@
   cr_assert(Server.Checks == 0);
 }
 
+// An end that is down refuses each call, and each costs.
+Test(held_call, makes_no_check_soon_after_a_refused_probe) {
+  holding_server Server(milliseconds(900), true);
+  Server.RefusesProbes = true;
+  cr_assert(Server.call(checksEach(milliseconds(0), 1)));
+  cr_assert(Server.Probes == 1 && Server.Checks == 0);
+}
+
 // A refusal says nothing, and must not become a flood of checks.
 Test(held_call, pauses_between_checks_that_say_nothing) {
   holding_server Server(milliseconds(2500), true);
