--- a/packages/core/masticproxy/src/Query/query_engine.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine.cpp
@@ -204,10 +204,6 @@
     finishWith(Run, caller_gone{});
 }
 
-void query_engine::on(const upstream_status &Event) {
-  Upstreams.onStatus(Event, Clock.now());
-}
-
 void query_engine::on(const upstream_probed &Event) {
   if (Event.Reached)
     Reach.recordResponse(Event.Upstream);
--- a/packages/core/masticproxy/src/Query/query_engine_forward.cpp
+++ b/packages/core/masticproxy/src/Query/query_engine_forward.cpp
@@ -37,3 +37,7 @@
         std::chrono::ceil<std::chrono::milliseconds>(*Next - Now));
   return true;
 }
+
+void query_engine::on(const upstream_status &Event) {
+  Upstreams.onStatus(Event, Clock.now());
+}
