Settings are read where the platform says they are

Callers saw: nothing, as no process of the system started (FAULT). The deploy file names /etc/masticproxy/boot.conf. Processes that share a machine can't all have their settings there; the platform names each one's place in MASTICPROXY_NODE_FILE, which was not read, so each process ended with status 2 after 2 s.

Why this works: settings_source reads the file of the command line, and where there is none the variable's. It also has what main() did to await settings that are written while the process starts. A return of sigwait() without a signal, as after a stop and continue, is no longer taken for one to leave (by reading; not seen here).

--- a/packages/config/masticproxy/src/Settings/settings_reference.cpp
+++ b/packages/config/masticproxy/src/Settings/settings_reference.cpp
@@ -64,9 +64,10 @@
       "is an error; all errors of a file are named at once,\nwith their "
       "lines.\n\n"
       "## Settings of a VM\n\n"
-      "The TOML file that `masticproxyd --settings FILE` reads; `masticctl "
-      "check settings\nFILE` checks it. `log.level` is read again on SIGHUP, "
-      "all else at the start.\n\n";
+      "The TOML file that `masticproxyd --settings FILE` reads; where there is "
+      "none, the\none that the environment variable `MASTICPROXY_NODE_FILE` "
+      "names. `masticctl check\nsettings FILE` checks it. `log.level` is read "
+      "again on SIGHUP, all else at the\nstart.\n\n";
   appendTable(Page, nodeSettingsSpecs());
   Page += "\n`peers.dead_after` must be more than `peers.suspect_after`, and "
           "that more than\n`peers.heartbeat_interval`. `listen.callers` and "
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -4,6 +4,8 @@
 #include "masticproxy/src/Daemon/daemon_log.h"
 #include "masticproxy/src/Daemon/daemon_options.h"
 #include "masticproxy/src/Daemon/entry_daemon.h"
+#include "masticproxy/src/Daemon/settings_source.h"
+#include "masticproxy/src/Platform/process_environment.h"
 #include "masticproxy/src/Settings/settings_error.h"
 #include "masticproxy/src/Settings/settings_reference.h"
 
@@ -12,11 +14,9 @@
 
 #include <chrono>
 #include <csignal>
-#include <fstream>
+#include <cstdlib>
 #include <iostream>
-#include <sstream>
 #include <stdexcept>
-#include <thread>
 
 using namespace masticproxy;
 
@@ -26,47 +26,25 @@
 constexpr int ExitFailed = 1;
 constexpr int ExitUsage = 2;
 
-std::string readFile(const std::string &Path) {
-  std::ifstream File(Path);
-  if (!File)
-    throw std::invalid_argument("can't read " + Path);
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  return Text.str();
-}
-
-node_settings readSettings(const std::string &Path) {
-  return readNodeSettings(readFile(Path), Path);
-}
-
-/// Longest wait for settings that can be read, and the pause between two tries.
-/// The file may be written while this process starts.
+/// Longest wait for settings that can be read.
 constexpr std::chrono::seconds SettingsWait{2};
-constexpr std::chrono::milliseconds SettingsPause{50};
 
-/// \returns the settings at \p Path, as soon as they can be read. \throws
-/// std::exception where they can't in time
-node_settings awaitSettings(const std::string &Path) {
-  auto Latest = std::chrono::steady_clock::now() + SettingsWait;
-  while (std::chrono::steady_clock::now() < Latest) {
-    try {
-      return readSettings(Path);
-    } catch (const std::exception &) {
-      std::this_thread::sleep_for(SettingsPause);
-    }
-  }
-  return readSettings(Path);
+std::string environmentValue(const char *Name) {
+  const char *Value = std::getenv(Name);
+  return Value ? Value : "";
 }
 
 /// Waits for signals until one asks to leave.
-void waitForLeave(const sigset_t &Signals, const std::string &SettingsFile) {
+void waitForLeave(const sigset_t &Signals, const settings_source &Source) {
   for (;;) {
     int Signal = 0;
-    sigwait(&Signals, &Signal);
+    // A process that was stopped and continued may be woken without a signal.
+    if (sigwait(&Signals, &Signal) != 0)
+      continue;
     if (Signal != SIGHUP)
       return;
     try {
-      std::string Level = readSettings(SettingsFile).LogLevel;
+      std::string Level = Source.read().LogLevel;
       setLogLevel(Level);
       logInfo("event=log_level_changed level=" + Level);
     } catch (const std::exception &Error) {
@@ -125,16 +103,18 @@
     std::cout << settingsReference();
     return ExitGood;
   }
+  settings_source Source(Options.SettingsFile,
+                         environmentValue(platform::SettingsFileVariable));
   if (Options.CheckOnly) {
-    readSettings(Options.SettingsFile);
-    std::cout << Options.SettingsFile << ": good\n";
+    Source.read();
+    std::cout << Source.path() << ": good\n";
     return ExitGood;
   }
-  node_settings Settings = awaitSettings(Options.SettingsFile);
+  node_settings Settings = Source.await(SettingsWait);
   setUpLog(Settings.LogLevel, Settings.Name);
   entry_daemon Daemon(std::move(Settings));
   Daemon.start();
-  waitForLeave(awaitedSignals(), Options.SettingsFile);
+  waitForLeave(awaitedSignals(), Source);
   Daemon.leave();
   return ExitGood;
 }
--- a/packages/daemon/masticproxy/src/Daemon/daemon_options.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_options.cpp
@@ -43,19 +43,19 @@
   if (optind < ArgCount)
     throw std::invalid_argument("unexpected argument: " +
                                 std::string(Args[optind]));
-  bool NeedsFile =
-      !Options.ShowHelp && !Options.ShowVersion && !Options.PrintReference;
-  if (NeedsFile && Options.SettingsFile.empty())
-    throw std::invalid_argument("--settings FILE is required");
   return Options;
 }
 
 std::string masticproxy::daemonHelp() {
-  return "Usage: masticproxyd --settings FILE [--check]\n"
+  return "Usage: masticproxyd [--settings FILE] [--check]\n"
          "\n"
          "The entry daemon of masticproxy: one on each entry VM.\n"
          "\n"
-         "  -s, --settings FILE  TOML settings of this VM\n"
+         "  -s, --settings FILE  TOML settings of this VM; without it, or "
+         "where\n"
+         "                       there is no FILE, MASTICPROXY_NODE_FILE "
+         "names\n"
+         "                       them\n"
          "  -c, --check          check the settings and exit\n"
          "  --print-settings-reference\n"
          "                       show every key of settings and profiles\n"
