Threads take an address space that the smallest VM has

Callers saw: at most starts of the system some processes ended (FAULT), and their requests with them.

Cause: "Resource temporarily unavailable" from the start of a thread. Each of the ten threads takes 8 MiB for its stack, and 64 MiB for a malloc arena of its own once it allocates (peak address space 678 MB, resident 11 MB). Who allocates first is a race, hence most starts and not all. Ruled out: memory in use, descriptors (2,870), environment, ports.

Why this works: limitAddressSpace() gives all threads one arena and stacks of 1 MiB before the first one starts.

The soak's VMs have these limits, too.

The raw servers of two net tests are one now (raw_server, raw_response).

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// masticproxyd: the entry daemon.
 
+#include "masticproxy/src/Daemon/address_space.h"
 #include "masticproxy/src/Daemon/daemon_log.h"
 #include "masticproxy/src/Daemon/daemon_options.h"
 #include "masticproxy/src/Daemon/entry_daemon.h"
@@ -87,6 +88,7 @@
 #endif
 
 int run(int ArgCount, char **Args) {
+  limitAddressSpace();
   // Before any thread inherits the mask.
   blockSignals();
   std::signal(SIGPIPE, SIG_IGN);
--- a/packages/net/tests/http_framing_test.cpp
+++ b/packages/net/tests/http_framing_test.cpp
@@ -2,17 +2,15 @@
 /// Messages whose end two readers could find at two places.
 
 #include "masticproxy/Net"
+#include "masticproxy/StandIns"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
 #include <string>
-#include <thread>
 #include <vector>
 
 using namespace masticproxy;
@@ -21,8 +19,6 @@
 
 namespace {
 
-constexpr milliseconds LongEnough{1000};
-
 /// \returns what a server sends for \p Text until it closes, and adds the
 /// targets that it handled to \p Handled.
 std::string talk(const std::string &Text, std::vector<std::string> &Handled) {
@@ -45,25 +41,6 @@
   return Answer;
 }
 
-/// \returns what a connection makes of the response \p Text.
-exchange_result readResponse(const std::string &Text) {
-  boost::asio::io_context Context;
-  tcp::acceptor Acceptor(Context, tcp::endpoint(tcp::v4(), 0));
-  std::string Address =
-      "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
-  std::thread Server([&] {
-    boost::asio::io_context Own;
-    tcp::socket Socket(Own);
-    Acceptor.accept(Socket);
-    boost::asio::streambuf Request;
-    boost::asio::read_until(Socket, Request, "\r\n\r\n");
-    boost::asio::write(Socket, boost::asio::buffer(Text));
-  });
-  exchange_result Result = httpCall(Address, {}, LongEnough);
-  Server.join();
-  return Result;
-}
-
 } // namespace
 
 // Guards against: what a caller sends as a body is taken for the next request.
@@ -120,8 +97,8 @@
         "content-length: 2\r\ncontent-length: 3",
         "content-length: 2\r\ncontent-length: 2", "content-length: -2"}) {
     exchange_result Result =
-        readResponse("HTTP/1.1 200 OK\r\n" + std::string(Fields) +
-                     "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        readRawResponse("HTTP/1.1 200 OK\r\n" + std::string(Fields) +
+                        "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
     auto *Error = std::get_if<exchange_error>(&Result);
     cr_assert(Error && Error->MayHaveRun, "%s", Fields);
   }
@@ -132,7 +109,7 @@
   const std::string Final = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
   for (const char *Interim : {"HTTP/1.1 100 Continue\r\n\r\n",
                               "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"}) {
-    exchange_result Result = readResponse(Interim + Final);
+    exchange_result Result = readRawResponse(Interim + Final);
     auto *Response = std::get_if<http_response>(&Result);
     cr_assert(Response && Response->Status == 200 && Response->Body == "ok");
   }
--- a/packages/testing/masticproxy/src/Harness/child_process.cpp
+++ b/packages/testing/masticproxy/src/Harness/child_process.cpp
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <fstream>
+#include <limits>
 #include <stdexcept>
 #include <thread>
 
@@ -18,7 +20,8 @@
 constexpr int ExecFailed = 127;
 
 [[noreturn]] void becomeCommand(std::vector<char *> &Args,
-                                const std::string &LogFile) {
+                                const std::string &LogFile,
+                                const process_limits &Limits) {
   // A test that is killed must leave no process behind.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   int Log = open(LogFile.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC,
@@ -30,6 +33,7 @@
   sigset_t None;
   sigemptyset(&None);
   sigprocmask(SIG_SETMASK, &None, nullptr);
+  apply(Limits);
   execv(Args.front(), Args.data());
   _exit(ExecFailed);
 }
@@ -37,7 +41,8 @@
 } // namespace
 
 child_process::child_process(const std::vector<std::string> &Command,
-                             const std::string &LogFile) {
+                             const std::string &LogFile,
+                             const process_limits &Limits) {
   std::vector<char *> Args;
   Args.reserve(Command.size() + 1);
   for (const std::string &Word : Command)
@@ -47,7 +52,7 @@
   if (Pid < 0)
     throw std::runtime_error("can't start " + Command.front());
   if (Pid == 0)
-    becomeCommand(Args, LogFile);
+    becomeCommand(Args, LogFile, Limits);
 }
 
 child_process::~child_process() {
@@ -73,6 +78,19 @@
   waitid(P_PID, static_cast<id_t>(Pid), &Info, WSTOPPED | WEXITED | WNOWAIT);
 }
 
+std::uint64_t child_process::peakBytes() const {
+  constexpr std::uint64_t Kibibyte = 1024;
+  std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
+  std::string Key;
+  while (Status >> Key) {
+    std::uint64_t Value = 0;
+    if (Key == "VmHWM:" && Status >> Value)
+      return Value * Kibibyte;
+    Status.ignore(std::numeric_limits<std::streamsize>::max(), '\n');
+  }
+  return 0;
+}
+
 std::optional<int> child_process::waitForExit(std::chrono::milliseconds Wait) {
   auto Latest = std::chrono::steady_clock::now() + Wait;
   while (!ExitCode) {
--- a/soak/soak_vm.cpp
+++ b/soak/soak_vm.cpp
@@ -32,7 +32,8 @@
   Killed = false;
   TerminatedAt.reset();
   EndedAt.reset();
-  Process = std::make_unique<child_process>(Command, LogFile);
+  Process =
+      std::make_unique<child_process>(Command, LogFile, smallestVmLimits());
   Book.vm(Number).struck(Clock.now());
 }
 
