The command line needs a settings file unless the platform names one

The place that the environment names is now given to readDaemonOptions(), which refuses as before where there is none.

--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -92,7 +92,8 @@
   // Before any thread inherits the mask.
   blockSignals();
   std::signal(SIGPIPE, SIG_IGN);
-  daemon_options Options = readDaemonOptions(ArgCount, Args);
+  daemon_options Options = readDaemonOptions(
+      ArgCount, Args, environmentValue(platform::SettingsFileVariable));
   if (Options.ShowHelp) {
     std::cout << daemonHelp();
     return ExitGood;
@@ -105,8 +106,7 @@
     std::cout << settingsReference();
     return ExitGood;
   }
-  settings_source Source(Options.SettingsFile,
-                         environmentValue(platform::SettingsFileVariable));
+  settings_source Source(Options.SettingsFile, Options.FallbackFile);
   if (Options.CheckOnly) {
     Source.read();
     std::cout << Source.path() << ": good\n";
--- a/packages/daemon/masticproxy/src/Daemon/daemon_options.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/daemon_options.cpp
@@ -6,7 +6,8 @@
 
 using namespace masticproxy;
 
-daemon_options masticproxy::readDaemonOptions(int ArgCount, char **Args) {
+daemon_options masticproxy::readDaemonOptions(int ArgCount, char **Args,
+                                              std::string FallbackFile) {
   static const option Known[] = {
       {"settings", required_argument, nullptr, 's'},
       {"check", no_argument, nullptr, 'c'},
@@ -15,6 +16,7 @@
       {"version", no_argument, nullptr, 'V'},
       {nullptr, 0, nullptr, 0}};
   daemon_options Options;
+  Options.FallbackFile = std::move(FallbackFile);
   opterr = 0;
   optind = 1;
   int Found = 0;
@@ -43,6 +45,12 @@
   if (optind < ArgCount)
     throw std::invalid_argument("unexpected argument: " +
                                 std::string(Args[optind]));
+  bool NeedsFile =
+      !Options.ShowHelp && !Options.ShowVersion && !Options.PrintReference;
+  bool NamesFile =
+      !Options.SettingsFile.empty() || !Options.FallbackFile.empty();
+  if (NeedsFile && !NamesFile)
+    throw std::invalid_argument("--settings FILE is required");
   return Options;
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/settings_source.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/settings_source.cpp
@@ -38,8 +38,6 @@
 
 node_settings settings_source::read() const {
   const std::string &File = path();
-  if (File.empty())
-    throw std::invalid_argument("--settings FILE is required");
   return readNodeSettings(readFile(File), File);
 }
 
--- a/packages/daemon/masticproxy/src/Daemon/settings_source.h
+++ b/packages/daemon/masticproxy/src/Daemon/settings_source.h
@@ -12,7 +12,7 @@
 class settings_source {
 public:
   /// Reads the file \p Path, and \p Fallback where there is no such file;
-  /// either may be empty.
+  /// one of them may be empty.
   settings_source(std::string Path, std::string Fallback);
 
   /// \returns the file that is read now.
--- a/packages/daemon/tests/daemon_protocol_test.cpp
+++ b/packages/daemon/tests/daemon_protocol_test.cpp
@@ -34,13 +34,15 @@
   return std::get<attempt_failed>(Result).Failure;
 }
 
-daemon_options read(std::vector<std::string> Words) {
+daemon_options read(std::vector<std::string> Words,
+                    const std::string &FallbackFile = {}) {
   std::vector<char *> Args;
   Words.insert(Words.begin(), "masticproxyd");
   Args.reserve(Words.size());
   for (std::string &Word : Words)
     Args.push_back(Word.data());
-  return readDaemonOptions(static_cast<int>(Args.size()), Args.data());
+  return readDaemonOptions(static_cast<int>(Args.size()), Args.data(),
+                           FallbackFile);
 }
 
 } // namespace
@@ -105,4 +107,5 @@
   cr_assert_throw(read({"--settings", "a", "b"}), std::invalid_argument);
   cr_assert(read({"--settings", "a", "--check"}).CheckOnly);
   cr_assert(read({"--print-settings-reference"}).PrintReference);
+  cr_assert(read({}, "b").FallbackFile == "b");
 }
--- a/packages/daemon/tests/settings_source_test.cpp
+++ b/packages/daemon/tests/settings_source_test.cpp
@@ -67,7 +67,8 @@
   cr_assert(Source.await(milliseconds(60)).Name == "fallback");
 }
 
-Test(settings_source, needs_one_of_the_two) {
-  settings_source Source("", "");
+Test(settings_source, names_a_file_that_is_not_there) {
+  settings_folder Folder;
+  settings_source Source(Folder.path("named"), "");
   cr_assert_throw(Source.read(), std::invalid_argument);
 }
