--- a/packages/net/masticproxy/src/Net/held_call.cpp
+++ b/packages/net/masticproxy/src/Net/held_call.cpp
@@ -1,7 +1,5 @@
 #include "masticproxy/src/Net/held_call.h"
 
-#include "masticproxy/src/Net/http_status.h"
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -25,7 +23,10 @@
                       const std::stop_token &Stop) {
     Held.exchange(std::move(Request), Timeout,
                   [this](exchange_result R) { end(std::move(R)); });
-    at(std::chrono::steady_clock::now() + Probe.After, [this] { probe(); });
+    // A call that brings news soon costs neither of them. Checks show all that
+    // a probe does.
+    at(std::chrono::steady_clock::now() + Probe.After,
+       [this] { Check.Due ? awaitCheck() : probe(); });
     std::stop_callback OnStop(Stop, [this] { Context.stop(); });
     Context.run();
     return std::move(Result);
@@ -58,19 +59,13 @@
   // What the other end got while it answers is answered later, also if it is
   // silent in between: one probe shows that it got the call.
   void probe() {
-    ask(std::move(Probe.Request), [this](const http_response &Response) {
-      // Each call costs an end that refuses all of them.
-      if (Response.Status == StatusOk)
-        return awaitCheck();
-      awaitCheckAfterRefusal();
-    });
+    ask(std::move(Probe.Request), [](const http_response &) {});
   }
 
   // An answer that is lost on its way gives no sign: only further requests show
   // that it should have come.
   void awaitCheck() {
-    if (Check.Due)
-      at(Check.Due(), [this] { check(); });
+    at(Check.Due(), [this] { check(); });
   }
 
   void check() {
@@ -83,14 +78,10 @@
         return end(std::move(Response));
       if (Check.Due() > Now)
         return awaitCheck();
-      awaitCheckAfterRefusal();
-    });
-  }
-
-  void awaitCheckAfterRefusal() {
-    if (Check.Due)
+      // Each call costs an end that refuses all of them.
       at(std::chrono::steady_clock::now() + RefusedCheckPause,
          [this] { check(); });
+    });
   }
 
   exchange_result Result = exchange_error{true, "stopped"};
