The soak plays upstreams by their word, endless answers, methods and equal names

New faults: upstreams that say in their responses that they leave, and start again under their identity; that refuse and name a pause; links that send bytes without end in place of a response, by turns in each part of its grammar. Callers use eight methods, with and without bodies, and a route to all shards that has the name of a service and no least coverage. New promises: `leaving`, `pause`, and within `own_whole_answer` that nothing follows an answer and that a success has a shard.

--- a/soak/answer_check.cpp
+++ b/soak/answer_check.cpp
@@ -40,7 +40,11 @@
   if (In.size() + Answer.Missing != Shards)
     return std::to_string(In.size()) + " shards in, " +
            std::to_string(Answer.Missing) + " said to be missing";
-  if (static_cast<double>(In.size()) < small_site::LeastCoverage * Shards)
+  if (In.empty())
+    return "a success without any shard";
+  double Least =
+      Request.Kind == request_kind::Any ? 0 : small_site::LeastCoverage;
+  if (static_cast<double>(In.size()) < Least * Shards)
     return "less than the least coverage";
   if (Answer.Body != greatestOf(Request.Id, In, small_site::MergedRecords))
     return "not the greatest records of the shards that are in";
@@ -52,12 +56,13 @@
 std::optional<std::string> wrongIn(const soak_request &Request,
                                    const caller_answer &Answer,
                                    unsigned Shards) {
-  if (Request.Kind == request_kind::Merged)
+  if (isMerged(Request.Kind))
     return wrongInMerged(Request, Answer, Shards);
   std::optional<unsigned> Shard = shardOf(Answer.Signature, Request.Id, Shards);
   if (!Shard)
     return "no signature of this request: " + Answer.Signature;
-  if (Answer.Body != bodyOf(Request.Id, *Shard))
+  std::string Body = Request.Method == "HEAD" ? "" : bodyOf(Request.Id, *Shard);
+  if (Answer.Body != Body)
     return "not the body of the upstream that signed it";
   return std::nullopt;
 }
--- a/soak/caller_answer.h
+++ b/soak/caller_answer.h
@@ -16,6 +16,8 @@
   /// The shards that are said to be left out.
   unsigned Missing = 0;
   std::string Body;
+  /// Whether more came than the answer.
+  bool MoreBytes = false;
 };
 
 } // namespace masticproxy::soak
--- a/soak/fault.cpp
+++ b/soak/fault.cpp
@@ -42,6 +42,12 @@
   std::string operator()(const upstream_failing &F) {
     return named("failing upstream", F.Upstream);
   }
+  std::string operator()(const upstream_leaving &F) {
+    return named("leaving upstream", F.Upstream);
+  }
+  std::string operator()(const upstream_pausing &F) {
+    return named("pausing upstream", F.Upstream);
+  }
 };
 
 } // namespace
--- a/soak/fault.h
+++ b/soak/fault.h
@@ -74,12 +74,25 @@
   unsigned Upstream = 0;
 };
 
+/// \brief An upstream says in its responses that it leaves, and starts again
+/// under its identity a while later.
+struct upstream_leaving {
+  unsigned Upstream = 0;
+};
+
+/// \brief An upstream refuses all requests for a while, and says for how long
+/// it wants none.
+struct upstream_pausing {
+  unsigned Upstream = 0;
+};
+
 /// What can happen to a site.
 using fault =
     std::variant<vm_killed, vm_terminated, vm_paused, upstream_link_harmed,
                  store_link_harmed, store_down, store_silent, store_compacted,
                  configuration_written, upstream_drained, upstream_slowed,
-                 upstream_refusing, upstream_failing, store_watch_lost>;
+                 upstream_refusing, upstream_failing, store_watch_lost,
+                 upstream_leaving, upstream_pausing>;
 
 /// \brief A fault with its time.
 struct planned_fault {
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -31,6 +31,15 @@
 constexpr unsigned MostLostWatches = 2;
 constexpr unsigned LostWatchStream = 0x53000000;
 
+/// How long an upstream is odd: longer than the time after which nothing may
+/// reach one that leaves.
+constexpr unsigned ShortestOddMs = 1500;
+constexpr unsigned LongestOddMs = 8000;
+
+/// The same for upstreams that leave, want a pause, or answer without end.
+constexpr unsigned MostOddUpstreams = 6;
+constexpr unsigned OddUpstreamStream = 0x54000000;
+
 /// \brief Draws faults from one seed.
 class fault_draws {
 public:
@@ -132,6 +141,24 @@
         {Draws.span(0, LastMs), milliseconds(0), store_watch_lost{"config"}});
 }
 
+/// Adds upstreams that leave or want a pause by their own word, and answers
+/// without end.
+void addOddUpstreams(std::vector<planned_fault> &Plan,
+                     const soak_options &Options, unsigned Upstreams) {
+  fault_draws Draws(Options, Upstreams, OddUpstreamStream);
+  auto LastMs =
+      static_cast<unsigned>(std::chrono::milliseconds(Options.Length).count());
+  for (unsigned Left = Draws.number(2, MostOddUpstreams); Left > 0; --Left) {
+    unsigned Upstream = Draws.number(0, Upstreams - 1);
+    const fault Kinds[] = {upstream_leaving{Upstream},
+                           upstream_pausing{Upstream},
+                           upstream_link_harmed{Upstream, link_mode::Endless}};
+    const fault &What = Kinds[Draws.number(0, std::size(Kinds) - 1)];
+    Plan.push_back(
+        {Draws.span(0, LastMs), Draws.span(ShortestOddMs, LongestOddMs), What});
+  }
+}
+
 } // namespace
 
 std::vector<planned_fault>
@@ -152,6 +179,7 @@
   addSilences(Plan, Options);
   addCopyings(Plan, Options, Upstreams);
   addLostWatches(Plan, Options);
+  addOddUpstreams(Plan, Options, Upstreams);
   std::stable_sort(Plan.begin(), Plan.end(),
                    [](const planned_fault &A, const planned_fault &B) {
                      return A.At < B.At;
--- a/soak/link_mode.h
+++ b/soak/link_mode.h
@@ -17,6 +17,9 @@
   Silent,
   /// Sends some responses a second time, late: where the next one is expected.
   Copying,
+  /// Sends bytes without end in place of a response, each time in another part
+  /// of its grammar.
+  Endless,
 };
 
 /// \returns the name of \p Mode, as reports give it.
@@ -34,6 +37,8 @@
     return "silent";
   case link_mode::Copying:
     return "copying";
+  case link_mode::Endless:
+    return "endless";
   }
   return "unknown";
 }
--- a/soak/link_session.cpp
+++ b/soak/link_session.cpp
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+using namespace masticproxy;
 using namespace masticproxy::soak;
 using boost::asio::ip::tcp;
 using error = boost::system::error_code;
@@ -23,6 +24,13 @@
 /// network would not, so that the proxy has to end the connection.
 constexpr std::chrono::milliseconds KeepAliveTime{4000};
 
+/// \returns an endless answer, by turns in each part of the grammar.
+const endless_answer &nextEndlessAnswer() {
+  static const std::vector<endless_answer> Answers = endlessAnswers();
+  static std::size_t Next = 0;
+  return Answers[Next++ % Answers.size()];
+}
+
 } // namespace
 
 link_session::link_session(tcp::socket NewCaller, link_mode NewMode)
@@ -90,6 +98,11 @@
 void link_session::passOn(pipe &Pipe, std::size_t Bytes) {
   if (Pipe.Dropping)
     return read(Pipe);
+  bool Endless = Mode == link_mode::Endless && &Pipe == &Responses;
+  if (Endless) {
+    Answer = nextEndlessAnswer();
+    return writeEndless(Answer.Start);
+  }
   if (&Pipe == &Responses)
     LastResponse.append(Pipe.Chunk.data(), Bytes);
   else if (copyResponse(Bytes))
@@ -116,6 +129,14 @@
   return true;
 }
 
+void link_session::writeEndless(const std::string &Bytes) {
+  boost::asio::async_write(
+      Caller, boost::asio::buffer(Bytes),
+      [Self = shared_from_this()](const error &E, std::size_t) {
+        return E ? Self->close() : Self->writeEndless(Self->Answer.Then);
+      });
+}
+
 void link_session::write(pipe &Pipe, std::size_t Bytes) {
   boost::asio::async_write(
       *Pipe.Into, boost::asio::buffer(Pipe.Chunk.data(), Bytes),
--- a/soak/link_session.h
+++ b/soak/link_session.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_SOAK_LINK_SESSION_H
 
 #include "link_mode.h"
+#include "masticproxy/StandIns"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -46,6 +47,8 @@
   /// Sends the last response again before a request is passed on, if it is time
   /// for that. \returns whether it does.
   bool copyResponse(std::size_t RequestBytes);
+  /// Sends \p Bytes, and what follows them without end.
+  void writeEndless(const std::string &Bytes);
   void close();
   void awaitKeepAlive();
 
@@ -57,6 +60,7 @@
   /// What came back since the last request.
   std::string LastResponse;
   std::string Copy;
+  endless_answer Answer;
   unsigned RequestsSeen = 0;
   pipe Requests;
   pipe Responses;
--- a/soak/promise_book.cpp
+++ b/soak/promise_book.cpp
@@ -24,7 +24,7 @@
 promise_book::promise_book(const clock &Clock, unsigned VmCount,
                            unsigned Shards, unsigned Upstreams)
     : Clock(Clock), StartedAt(Clock.now()), Shards(Shards), Vms(VmCount),
-      Links(Upstreams), DrainedAt(Upstreams) {}
+      Links(Upstreams), DrainedAt(Upstreams), LeavingSince(Upstreams) {}
 
 void promise_book::sent(const soak_request &Request) {
   ++Sent;
@@ -51,6 +51,7 @@
     breaks("attempts", Record, "runs at one shard " + std::to_string(OfShard));
   if (Record.Refused)
     breaks("not_run", Record, "runs after it was refused");
+  checkWanted(Record, Upstream);
   time_point Now = Clock.now();
   // A VM that stands still hears of the end of a connection late.
   bool Heard = Vms[Record.Request.Vm].Process.calmFor(StableWindow, Now) &&
@@ -70,6 +71,8 @@
   if (!Record)
     return;
   checkHeld(*Record);
+  if (Answer.MoreBytes)
+    breaks("own_whole_answer", *Record, "bytes after the answer");
   bool Success = Answer.Status >= 200 && Answer.Status < 300;
   if (saysNotRun(Answer.Status)) {
     Record->Refused = true;
@@ -80,6 +83,7 @@
   if (Success) {
     ++Served;
     ServedAfter += isAfterFaults(Record->Request) ? 1 : 0;
+    noteLeaving(*Record, Answer);
     if (auto Wrong = wrongIn(Record->Request, Answer, Shards))
       breaks("own_whole_answer", *Record, *Wrong);
   }
@@ -92,6 +96,60 @@
     breaks("configuration", *Record, *Wrong);
 }
 
+void promise_book::startedAgain(unsigned Upstream) {
+  LeavingSince[Upstream].reset();
+  std::erase_if(LeavingPassedOn, [Upstream](const auto &Entry) {
+    return Entry.first.second == Upstream;
+  });
+}
+
+void promise_book::noteLeaving(const request_record &Record,
+                               const caller_answer &Answer) {
+  std::vector<std::string> Signatures = Answer.Signatures;
+  Signatures.push_back(Answer.Signature);
+  for (unsigned U = 0; U < LeavingSince.size(); ++U) {
+    bool Says = LeavingSince[U] && Record.Request.SentAt > *LeavingSince[U];
+    std::string Own = small_site::signatureOf(
+        U / small_site::Replicas, U % small_site::Replicas, Record.Request.Id);
+    bool Signed = std::find(Signatures.begin(), Signatures.end(), Own) !=
+                  Signatures.end();
+    if (Says && Signed)
+      LeavingPassedOn.try_emplace({Record.Request.Vm, U}, Clock.now());
+  }
+}
+
+void promise_book::askedForPause(const std::string &Id, unsigned Upstream,
+                                 duration Pause) {
+  auto Found = Requests.find(Id);
+  if (Found == Requests.end())
+    return;
+  checkWanted(Found->second, Upstream);
+  asked_pause &Asked = Pauses[{Found->second.Request.Vm, Upstream}];
+  time_point Now = Clock.now();
+  if (Now >= Asked.Until)
+    Asked = {Now + PauseSlack, Now + Pause};
+}
+
+void promise_book::checkWanted(const request_record &Record,
+                               unsigned Upstream) {
+  unsigned Vm = Record.Request.Vm;
+  time_point Now = Clock.now();
+  auto CalmSince = [&](time_point Since) {
+    return Vms[Vm].Process.calmFor(Now - Since, Now) &&
+           Links[Upstream].calmFor(Now - Since, Now);
+  };
+  auto Left = LeavingPassedOn.find({Vm, Upstream});
+  bool AfterLeaving = Left != LeavingPassedOn.end() &&
+                      Record.Request.SentAt > Left->second + DrainWithin;
+  if (AfterLeaving && CalmSince(Left->second))
+    breaks("leaving", Record, "reaches upstream " + std::to_string(Upstream));
+  asked_pause &Asked = Pauses[{Vm, Upstream}];
+  bool Within = Now > Asked.From && Now < Asked.Until;
+  if (Within && CalmSince(Asked.From - PauseSlack - StableWindow) &&
+      ++Asked.Arrivals > PauseArrivals)
+    breaks("pause", Record, "reaches upstream " + std::to_string(Upstream));
+}
+
 void promise_book::closed(const std::string &Id, bool Unsent) {
   if (Unsent) {
     // No process owes it anything, and none may run it.
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -40,6 +40,9 @@
   /// The store acknowledged that an upstream drains, or does no more.
   void drained(unsigned Upstream) { DrainedAt[Upstream] = Clock.now(); }
   void undrained(unsigned Upstream) { DrainedAt[Upstream].reset(); }
+  /// An upstream says from now on that it leaves, until it starts again.
+  void leaving(unsigned Upstream) { LeavingSince[Upstream] = Clock.now(); }
+  void startedAgain(unsigned Upstream);
   /// Notes that all is well again: requests from now on have to be served.
   void startRecovery() { RecoveryFrom = Clock.now(); }
   /// @}
@@ -51,6 +54,9 @@
   /// An upstream of \p Shard began to run the request \p Id.
   void ran(const std::string &Id, const std::string &Target, unsigned Shard,
            unsigned Upstream);
+  /// An upstream refused the request \p Id, and wants none of its VM for
+  /// \p Pause.
+  void askedForPause(const std::string &Id, unsigned Upstream, duration Pause);
   /// The caller has the whole answer.
   void answered(const std::string &Id, const caller_answer &Answer);
   /// The connection ended without an answer; \p Unsent where no byte left.
@@ -79,6 +85,11 @@
     calm_record Process;
     calm_record Store;
   };
+  struct asked_pause {
+    time_point From{};
+    time_point Until{};
+    unsigned Arrivals = 0;
+  };
   struct request_record {
     soak_request Request;
     std::map<unsigned, unsigned> RunsOfShard;
@@ -94,6 +105,10 @@
   bool inTouch(unsigned Vm) const;
   bool isAfterFaults(const soak_request &Request) const;
   request_record *end(const std::string &Id);
+  /// Checks that \p Upstream wanted what reaches it.
+  void checkWanted(const request_record &Record, unsigned Upstream);
+  /// Notes of which upstreams \p Answer passed on that they leave.
+  void noteLeaving(const request_record &Record, const caller_answer &Answer);
   void checkHeld(const request_record &Record);
   void checkLost(const request_record &Record);
 
@@ -106,6 +121,11 @@
   /// The start of each VM that was asked to end.
   std::map<unsigned, unsigned> Terminated;
   std::vector<std::optional<time_point>> DrainedAt;
+  std::vector<std::optional<time_point>> LeavingSince;
+  /// By VM and upstream: when the VM first passed on that it leaves.
+  std::map<std::pair<unsigned, unsigned>, time_point> LeavingPassedOn;
+  /// The same: the pause that the upstream asked the VM for.
+  std::map<std::pair<unsigned, unsigned>, asked_pause> Pauses;
   version_record Versions;
   std::unordered_map<std::string, request_record> Requests;
   std::vector<violation> Broken;
--- a/soak/soak_caller.cpp
+++ b/soak/soak_caller.cpp
@@ -26,6 +26,12 @@
 /// One request in this many uses the route of the version before the newest.
 constexpr unsigned OlderOneIn = 12;
 
+/// Methods of requests to one upstream; one in BodyOneIn has a body.
+constexpr const char *Methods[] = {"GET",    "HEAD",    "POST",  "PUT",
+                                   "DELETE", "OPTIONS", "TRACE", "PATCH"};
+constexpr unsigned BodyOneIn = 2;
+constexpr std::size_t BodyBytes = 200;
+
 std::vector<std::string> signaturesIn(const http_headers &Headers) {
   std::vector<std::string> All;
   for (const auto &[Name, Value] : Headers)
@@ -35,6 +41,20 @@
   return All;
 }
 
+std::string prefixOf(const soak_request &Request) {
+  switch (Request.Kind) {
+  case request_kind::Merged:
+    return "/v" + std::to_string(Request.Version) + "/";
+  case request_kind::Any:
+    return "/named/";
+  case request_kind::One:
+    return "/one/";
+  case request_kind::Once:
+    return "/once/";
+  }
+  return "/";
+}
+
 caller_answer toAnswer(http_response Response) {
   caller_answer Answer;
   Answer.Status = Response.Status;
@@ -63,18 +83,17 @@
 
 soak_request soak_caller::next() {
   constexpr request_kind Kinds[] = {request_kind::Merged, request_kind::Merged,
-                                    request_kind::Merged, request_kind::One,
-                                    request_kind::Once};
+                                    request_kind::Merged, request_kind::Any,
+                                    request_kind::One,    request_kind::Once};
   soak_request Request;
   Request.Id = Name + "-" + std::to_string(++Requests);
   Request.Kind = Kinds[number(0, std::size(Kinds) - 1)];
   Request.Version = Book.newestVersion();
   bool Older = Request.Version > 1 && number(1, OlderOneIn) == 1;
   Request.Version -= Older ? 1 : 0;
-  std::string Prefix = Request.Kind == request_kind::One ? "/one/" : "/once/";
-  if (Request.Kind == request_kind::Merged)
-    Prefix = "/v" + std::to_string(Request.Version) + "/";
-  Request.Target = Prefix + Request.Id;
+  Request.Target = prefixOf(Request) + Request.Id;
+  if (!isMerged(Request.Kind))
+    Request.Method = Methods[number(0, std::size(Methods) - 1)];
   Request.Vm = Vm;
   Request.Start = StartOf();
   Request.SentAt = Clock.now();
@@ -85,7 +104,11 @@
   soak_request Request = next();
   Book.sent(Request);
   http_request Call;
+  Call.Method = Request.Method;
   Call.Target = Request.Target;
+  bool HasBody = Request.Method != "GET" && number(1, BodyOneIn) == 1;
+  if (HasBody)
+    Call.Body = std::string(BodyBytes, 'b');
   Call.Headers = {
       {"host", "host"},
       {std::string(HeaderNames.RequestId), Request.Id},
@@ -102,7 +125,11 @@
 void soak_caller::ended(const std::string &Id, bool Leaves,
                         exchange_result Result) {
   if (auto *Response = std::get_if<http_response>(&Result)) {
-    Book.answered(Id, toAnswer(std::move(*Response)));
+    bool Closes = Response->Close;
+    caller_answer Answer = toAnswer(std::move(*Response));
+    // What nothing was asked for ends a connection that was to be kept.
+    Answer.MoreBytes = !Closes && !Connection.warm();
+    Book.answered(Id, Answer);
     return pause();
   }
   const auto &Error = std::get<exchange_error>(Result);
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -76,6 +76,10 @@
     upstream(I).setBody([=](const http_request &Request) {
       return bodyOf(IdOf(Request), Shard);
     });
+    upstream(I).onRefused([=, this](const http_request &Request) {
+      if (upstream(I).pausing())
+        Book.askedForPause(IdOf(Request), I, AskedPause);
+    });
     upstream(I).onRun([=, this](const http_request &Request) {
       Book.ran(IdOf(Request), Request.Target, Shard, I);
     });
@@ -267,6 +271,23 @@
   after(Span, [this, Fault] { upstream(Fault.Upstream).setStatus(200); });
 }
 
+void soak_run::harm(const upstream_leaving &Fault, duration Span) {
+  upstream(Fault.Upstream).setLeaving(true);
+  Book.leaving(Fault.Upstream);
+  after(Span, [this, Fault] {
+    upstream(Fault.Upstream).setLeaving(false);
+    Book.startedAgain(Fault.Upstream);
+    Site.startAgain(Fault.Upstream / small_site::Replicas,
+                    Fault.Upstream % small_site::Replicas);
+  });
+}
+
+void soak_run::harm(const upstream_pausing &Fault, duration Span) {
+  double Seconds = std::chrono::duration<double>(AskedPause).count();
+  upstream(Fault.Upstream).setRetryAfter(std::to_string(Seconds));
+  after(Span, [this, Fault] { upstream(Fault.Upstream).setRetryAfter(""); });
+}
+
 void soak_run::setState(unsigned Upstream, const char *State) {
   Site.registerUpstream(Upstream / small_site::Replicas,
                         Upstream % small_site::Replicas, State);
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -50,6 +50,8 @@
   void harm(const upstream_slowed &Fault, duration Span);
   void harm(const upstream_refusing &Fault, duration Span);
   void harm(const upstream_failing &Fault, duration Span);
+  void harm(const upstream_leaving &Fault, duration Span);
+  void harm(const upstream_pausing &Fault, duration Span);
   /// @}
 
 private:
--- a/soak/soak_timing.h
+++ b/soak/soak_timing.h
@@ -15,6 +15,14 @@
 /// Time from an upstream's word that it drains until it gets nothing new.
 inline constexpr std::chrono::milliseconds DrainWithin{3000};
 
+/// Time from an upstream's word that it wants a pause until that counts, and
+/// what may reach it from one VM until the end of the pause.
+inline constexpr std::chrono::milliseconds PauseSlack{500};
+inline constexpr unsigned PauseArrivals = 2;
+
+/// Pause that an upstream asks for.
+inline constexpr std::chrono::milliseconds AskedPause{1500};
+
 /// Time after its caller left in which a request may still reach an upstream.
 inline constexpr std::chrono::milliseconds LeftWithin{500};
 
