A pause does not shorten how long a leaving upstream gets nothing queued

Callers saw: requests that were queued for an upstream could still reach it after it had said that it leaves (DRAIN), where another one's refusal there had named a short pause meanwhile. Cause: the time for which queued attempts are held back was set anew by each response. Why this works: the latest of these times counts for one process. What the engine decides anew was right already (excluded_processes).

Test: daemon_upstreams_thread_test:send_nothing_after_a_pause_to_an_upstream_that_leaves failed 3 of 3 before, passes 3 of 3. The classes of HTTP statuses, which three sources each named, have a header.

--- a/packages/core/masticproxy/src/Query/query_run.cpp
+++ b/packages/core/masticproxy/src/Query/query_run.cpp
@@ -1,6 +1,7 @@
 #include "masticproxy/src/Query/query_run.h"
 
 #include "masticproxy/src/Query/request_fingerprint.h"
+#include "masticproxy/src/Query/status_class.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,11 +10,6 @@
 
 namespace {
 
-/// HTTP statuses: success is from 200 to 299, server errors begin at 500.
-constexpr unsigned FirstSuccess = 200;
-constexpr unsigned FirstRedirection = 300;
-constexpr unsigned FirstServerError = 500;
-
 /// Number of times that each upstream of a shard is tried before the shard
 /// counts as unreachable. A second try helps if an upstream is restarting.
 constexpr std::size_t UnreachableRounds = 2;
--- a/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/forwarding.cpp
@@ -4,6 +4,7 @@
 #include "masticproxy/src/Daemon/end_to_end_headers.h"
 #include "masticproxy/src/Daemon/outcome_response.h"
 #include "masticproxy/src/Net/http_status.h"
+#include "masticproxy/src/Query/status_class.h"
 #include "masticproxy/src/Query/top_k_merge.h"
 
 #include <charconv>
@@ -14,9 +15,6 @@
 
 namespace {
 
-/// Statuses below are informational or successes; the first is an error.
-constexpr unsigned FirstRedirection = 300;
-
 /// Pause for a caller that was refused for another reason than a known one:
 /// long enough for an upstream to finish what it runs.
 constexpr std::chrono::milliseconds UsualRetryAfter{100};
--- a/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/upstreams_thread.cpp
@@ -7,8 +7,10 @@
 #include "masticproxy/src/Daemon/upstream_status_reading.h"
 #include "masticproxy/src/Net/byte_budget.h"
 #include "masticproxy/src/Net/http_status.h"
+#include "masticproxy/src/Query/status_class.h"
 
 #include <algorithm>
+#include <utility>
 
 using namespace masticproxy;
 
@@ -34,9 +36,6 @@
 /// Longest time that a command of the engine's is reckoned to wait here.
 constexpr std::chrono::seconds LongestQueued{10};
 
-/// HTTP statuses from here on mean that the upstream failed.
-constexpr unsigned FirstServerError = 500;
-
 } // namespace
 
 upstreams_thread::upstreams_thread(loop_thread &Loop, const clock &Clock,
@@ -205,11 +204,12 @@
   if (!Status.any())
     return;
   upstream_connections &Held = Connections[Command.Upstream];
-  Held.Refusing = Command.Process;
-  Held.RefusingUntil =
-      Clock.now() +
-      (Status.Leaving ? LongestQueued
-                      : std::min<duration>(*Status.RetryAfter, LongestQueued));
+  if (std::exchange(Held.Refusing, Command.Process) != Command.Process)
+    Held.RefusingUntil = {};
+  duration Span = LongestQueued;
+  if (!Status.Leaving)
+    Span = std::min<duration>(*Status.RetryAfter, LongestQueued);
+  Held.RefusingUntil = std::max(Held.RefusingUntil, Clock.now() + Span);
   if (Status.Leaving) {
     Counters.get("upstreams_leaving_total").add();
     while (!Held.Idle.empty())
--- a/packages/daemon/tests/upstreams_thread_test.cpp
+++ b/packages/daemon/tests/upstreams_thread_test.cpp
@@ -39,6 +39,11 @@
   /// \returns how the attempt for the request \p Id ended; nothing where it
   /// had a result.
   std::optional<attempt_failure> failureOf(const std::string &Id) {
+    send(Id);
+    return nextFailure();
+  }
+
+  void send(const std::string &Id) {
     send_attempt Command;
     Command.Attempt = ++Number;
     Command.RequestId = Id;
@@ -52,6 +57,10 @@
     Request->Headers = {{"x-request-id", Id}};
     Command.Forwarded = std::move(Request);
     Sent.commands().push(std::move(Command));
+  }
+
+  /// \returns how the next attempt ended, as failureOf().
+  std::optional<attempt_failure> nextFailure() {
     std::optional<upstream_event> Event;
     while (!Event)
       Ended.drain([&](upstream_event E) {
@@ -155,3 +164,18 @@
   std::this_thread::sleep_for(milliseconds(350));
   cr_assert(not Attempts.failureOf("c"));
 }
+
+// The pause that another attempt's refusal names must not shorten the leave.
+Test(upstreams, send_nothing_after_a_pause_to_an_upstream_that_leaves) {
+  scripted_upstream Upstream(
+      {response("200 OK", "a", "x-signature: s\r\nx-leaving"),
+       "HTTP/1.1 503 Unavailable\r\ncontent-length: 0\r\nx-request-id: b\r\n"
+       "x-not-run: 1\r\nretry-after: 0.05\r\n\r\n"});
+  attempts Attempts(Upstream.address());
+  Attempts.send("a");
+  Attempts.send("b");
+  Attempts.nextFailure();
+  Attempts.nextFailure();
+  std::this_thread::sleep_for(milliseconds(100));
+  cr_assert(Attempts.failureOf("c") == attempt_failure::NotSent);
+}
