--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.cpp
@@ -120,29 +120,30 @@
   });
 }
 
+template <typename Command>
+void engine_thread::tellUpstreams(const Command &What) {
+  // Assigned, not constructed: GCC 12 takes the other alternative's members for
+  // read uninitialized in the destructor.
+  upstream_command Wrapped;
+  Wrapped = What;
+  Upstreams->push(std::move(Wrapped));
+}
+
 void engine_thread::carryOut(const cancel_attempt &Command) {
   Counters.get("cancellations_total").add();
   Attempts.cancelled(Command.Attempt);
   // A lost cancellation costs work, not truth: the deadline ends the attempt.
-  // Assigned, not constructed: GCC 12 takes the other alternative's members for
-  // read uninitialized in the destructor.
-  upstream_command Wrapped;
-  Wrapped = Command;
-  Upstreams->push(Wrapped);
+  tellUpstreams(Command);
 }
 
 void engine_thread::carryOut(const release_attempt &Command) {
   // One that is lost costs bytes until the attempt's deadline.
-  upstream_command Wrapped;
-  Wrapped = Command;
-  Upstreams->push(Wrapped);
+  tellUpstreams(Command);
 }
 
 void engine_thread::carryOut(const probe_upstream &Command) {
   // A lost probe is made up for by the next round.
-  upstream_command Wrapped;
-  Wrapped = Command;
-  Upstreams->push(Wrapped);
+  tellUpstreams(Command);
 }
 
 void engine_thread::noteReach() {
--- a/packages/daemon/masticproxy/src/Daemon/engine_thread.h
+++ b/packages/daemon/masticproxy/src/Daemon/engine_thread.h
@@ -57,6 +57,8 @@
 private:
   void handle(engine_event Event);
   void carryOut(send_attempt Command);
+  /// Tells the upstreams' duty something that may be lost.
+  template <typename Command> void tellUpstreams(const Command &What);
   void carryOut(const cancel_attempt &Command);
   void carryOut(const release_attempt &Command);
   void carryOut(const probe_upstream &Command);
--- a/packages/daemon/masticproxy/src/Daemon/pending_ids.h
+++ b/packages/daemon/masticproxy/src/Daemon/pending_ids.h
@@ -21,8 +21,6 @@
     return !Deadlines.empty() && Deadlines.contains(Id);
   }
 
-  std::size_t size() const { return Deadlines.size(); }
-
 private:
   std::unordered_map<std::string, time_point> Deadlines;
   /// The ids are searched for expired ones when there are so many.
