A shard refuses every other request while its links send responses twice

The variant same_request_on_its_connection (a request comes back over the connection on which it was rejected) was not found in 300 s: requests came back to one upstream too seldom.

--- a/soak/fault.h
+++ b/soak/fault.h
@@ -86,13 +86,19 @@
   unsigned Upstream = 0;
 };
 
+/// \brief The upstreams of a shard refuse some requests, and their links send
+/// responses twice.
+struct shard_refusing {
+  unsigned Shard = 0;
+};
+
 /// What can happen to a site.
 using fault =
     std::variant<vm_killed, vm_terminated, vm_paused, upstream_link_harmed,
                  store_link_harmed, store_down, store_silent, store_compacted,
                  configuration_written, upstream_drained, upstream_slowed,
                  upstream_refusing, upstream_failing, store_watch_lost,
-                 upstream_leaving, upstream_pausing>;
+                 upstream_leaving, upstream_pausing, shard_refusing>;
 
 /// \brief A fault with its time.
 struct planned_fault {
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -1,5 +1,6 @@
 #include "fault_plan.h"
 
+#include "../platform/standins/small_site.h"
 #include "soak_options.h"
 
 #include <algorithm>
@@ -36,10 +37,13 @@
 constexpr unsigned ShortestOddMs = 1500;
 constexpr unsigned LongestOddMs = 8000;
 
-/// The same for upstreams that leave, want a pause, or answer without end.
+/// The same for upstreams that leave, want a pause, answer without end, or
+/// refuse now and then.
 constexpr unsigned MostOddUpstreams = 6;
 constexpr unsigned OddUpstreamStream = 0x54000000;
 
+constexpr unsigned Replicas = masticproxy::platform::small_site::Replicas;
+
 /// \brief Draws faults from one seed.
 class fault_draws {
 public:
@@ -141,8 +145,8 @@
         {Draws.span(0, LastMs), milliseconds(0), store_watch_lost{"config"}});
 }
 
-/// Adds upstreams that leave or want a pause by their own word, and answers
-/// without end.
+/// Adds upstreams that leave or want a pause by their own word, answers without
+/// end, and shards that refuse now and then.
 void addOddUpstreams(std::vector<planned_fault> &Plan,
                      const soak_options &Options, unsigned Upstreams) {
   fault_draws Draws(Options, Upstreams, OddUpstreamStream);
@@ -152,7 +156,8 @@
     unsigned Upstream = Draws.number(0, Upstreams - 1);
     const fault Kinds[] = {upstream_leaving{Upstream},
                            upstream_pausing{Upstream},
-                           upstream_link_harmed{Upstream, link_mode::Endless}};
+                           upstream_link_harmed{Upstream, link_mode::Endless},
+                           shard_refusing{Upstream / Replicas}};
     const fault &What = Kinds[Draws.number(0, std::size(Kinds) - 1)];
     Plan.push_back(
         {Draws.span(0, LastMs), Draws.span(ShortestOddMs, LongestOddMs), What});
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -37,6 +37,9 @@
 
 constexpr unsigned FailedStatus = 500;
 
+/// A shard that refuses does so with one request in this many.
+constexpr unsigned RefusedEach = 2;
+
 /// How often ended processes are looked for.
 constexpr milliseconds LookInterval{20};
 
@@ -288,6 +291,17 @@
   after(Span, [this, Fault] { upstream(Fault.Upstream).setRetryAfter(""); });
 }
 
+void soak_run::harm(const shard_refusing &Fault, duration Span) {
+  // Both together make a request come back to an upstream over a connection on
+  // which its own refusal is sent again.
+  for (unsigned R = 0; R < small_site::Replicas; ++R) {
+    unsigned Upstream = Fault.Shard * small_site::Replicas + R;
+    upstream(Upstream).refuseEach(RefusedEach);
+    harm(upstream_link_harmed{Upstream, link_mode::Copying}, Span);
+    after(Span, [this, Upstream] { upstream(Upstream).setRefusing(false); });
+  }
+}
+
 void soak_run::setState(unsigned Upstream, const char *State) {
   Site.registerUpstream(Upstream / small_site::Replicas,
                         Upstream % small_site::Replicas, State);
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -52,6 +52,7 @@
   void harm(const upstream_failing &Fault, duration Span);
   void harm(const upstream_leaving &Fault, duration Span);
   void harm(const upstream_pausing &Fault, duration Span);
+  void harm(const shard_refusing &Fault, duration Span);
   /// @}
 
 private:
--- a/tools/soak_variants.py
+++ b/tools/soak_variants.py
@@ -79,7 +79,7 @@
         sys.exit(f"{one.name}: {one.file} has changed")
     source.write_text(text.replace(one.mended, one.broken))
     subprocess.run(["cmake", "-S", tree, "-B", tree / "build", "-G", "Ninja",
-                    "-DMASTICPROXY_DAEMON_ONLY=ON", "-DCMAKE_CXX_FLAGS=-Wno-error",
+                    "-DMASTICPROXY_DAEMON_ONLY=ON", "-DCMAKE_CXX_FLAGS=-w",
                     "-DCMAKE_BUILD_TYPE=Release"],
                    check=True, stdout=subprocess.DEVNULL)
     subprocess.run(["cmake", "--build", tree / "build"], check=True,
