--- a/packages/net/masticproxy/src/Net/platform_caller.h
+++ b/packages/net/masticproxy/src/Net/platform_caller.h
@@ -29,10 +29,10 @@
   call(http_request Request,
        std::chrono::milliseconds Wait = std::chrono::milliseconds(0)) const;
 
-  /// As call(); where the answer is held back \p Check is made, or else \p
-  /// Probe is sent, for which any answer will do. A platform that gives none is
-  /// silent, and may never answer what it got meanwhile. The answer to a \p
-  /// Check that brings news is returned in its place.
+  /// As call(). Where the answer is held back, \p Check is made; without one,
+  /// \p Probe is sent, for which any answer will do. A platform that answers
+  /// neither is silent, and may never answer what it got meanwhile. The answer
+  /// to a \p Check that brings news is returned in place of the held one.
   std::variant<http_response, platform_unavailable>
   hold(http_request Request, std::chrono::milliseconds Wait, http_request Probe,
        const call_check &Check = {}) const;
--- a/tools/soak_variants.py
+++ b/tools/soak_variants.py
@@ -46,7 +46,7 @@
             "bool NeedsNew = false;"),
     variant("route_named_like_a_service",
             "platform/masticproxy/src/Platform/configuration_codec.cpp",
-            'return "route:" + std::string(Route);', "return std::string(Route);"),
+            'return "route:" + std::string(Route);', 'return "service:" + std::string(Route);'),
     variant("endless_answer", NET + "http_connection.cpp",
             "MaxBufferedBytes = 32U << 10U;", "MaxBufferedBytes = 1U << 31U;"),
     variant("lost_answer_to_a_watch", NET + "held_call.cpp",
