A variant may take back several places

TRACE with a body is contained in more than one place (http_convert, http_connection, error_boundary), and a leaving or pausing upstream is excluded twice.

--- a/tools/soak_variants.py
+++ b/tools/soak_variants.py
@@ -26,46 +26,72 @@
 
 
 @dataclasses.dataclass
-class variant:
-    """One mended fault, and how to bring it back."""
-    name: str
+class edit:
+    """Lines of a file, and what stands for them while a fault is back."""
     file: str
     mended: str
     broken: str
 
 
+@dataclasses.dataclass
+class variant:
+    """One mended fault, and how to bring it back."""
+    name: str
+    edits: list
+
+
 DAEMON = "packages/daemon/masticproxy/src/Daemon/"
 NET = "packages/net/masticproxy/src/Net/"
 CORE = "packages/core/masticproxy/src/"
 
 VARIANTS = [
-    variant("foreign_response", DAEMON + "forwarding.cpp",
-            "if (!Id.empty() && Id != Attempt.RequestId)", "if (false)"),
-    variant("same_request_on_its_connection", DAEMON + "upstreams_thread.cpp",
-            "bool NeedsNew = Held.Unanswered.contains(Command.RequestId);",
-            "bool NeedsNew = false;"),
-    variant("route_named_like_a_service",
-            "platform/masticproxy/src/Platform/configuration_codec.cpp",
-            'return "route:" + std::string(Route);', 'return "service:" + std::string(Route);'),
-    variant("endless_answer", NET + "http_connection.cpp",
-            "MaxBufferedBytes = 32U << 10U;", "MaxBufferedBytes = 1U << 31U;"),
-    variant("lost_answer_to_a_watch", NET + "held_call.cpp",
-            "at(Check.Due(), [this] { check(); });", ""),
-    variant("threads_address_space", "packages/daemon/main.cpp",
-            "  limitAddressSpace();\n", ""),
-    variant("body_to_head", NET + "http_convert.cpp",
-            "if (Method == http::verb::head) {", "if (false) {"),
-    variant("trace_with_a_body", NET + "http_convert.cpp",
-            "if (StatesLength)\n    To.content_length(To.body().size());",
-            "To.prepare_payload();"),
-    variant("success_without_a_part", CORE + "Query/query_run.cpp",
-            "bool NoneAsked = Covered.Asked == 0 && !Route;",
-            "bool NoneAsked = Covered.Asked == 0 || Profile.Coverage == 0;"),
-    variant("leaving_upstream", CORE + "Routing/excluded_processes.cpp",
-            "if (Leaving)\n    return time_point::max();", "(void)Leaving;"),
-    variant("pausing_upstream", CORE + "Routing/excluded_processes.cpp",
-            "std::max(Record.MisdirectedUntil, Record.PausedUntil)",
-            "Record.MisdirectedUntil"),
+    variant("foreign_response", [
+        edit(DAEMON + "forwarding.cpp",
+             "if (!Id.empty() && Id != Attempt.RequestId)", "if (false)")]),
+    variant("same_request_on_its_connection", [
+        edit(DAEMON + "upstreams_thread.cpp",
+             "bool NeedsNew = Held.Unanswered.contains(Command.RequestId);",
+             "bool NeedsNew = false;")]),
+    variant("route_named_like_a_service", [
+        edit("platform/masticproxy/src/Platform/configuration_codec.cpp",
+             'return "route:" + std::string(Route);',
+             'return "service:" + std::string(Route);')]),
+    variant("endless_answer", [
+        edit(NET + "http_connection.cpp", "MaxBufferedBytes = 32U << 10U;",
+             "MaxBufferedBytes = 1U << 31U;")]),
+    variant("lost_answer_to_a_watch", [
+        edit(NET + "held_call.cpp", "at(Check.Due(), [this] { check(); });",
+             "")]),
+    variant("threads_address_space", [
+        edit("packages/daemon/main.cpp", "  limitAddressSpace();\n", "")]),
+    variant("body_to_head", [
+        edit(NET + "http_convert.cpp", "if (Method == http::verb::head) {",
+             "if (false) {")]),
+    # What contains exceptions was mended with their cause.
+    variant("trace_with_a_body", [
+        edit(NET + "http_convert.cpp",
+             "if (StatesLength)\n    To.content_length(To.body().size());",
+             "To.prepare_payload();"),
+        edit(NET + "http_connection.cpp",
+             "} catch (const std::exception &) {\n      // A field",
+             "} catch (int) {\n      // A field"),
+        edit(DAEMON + "error_boundary.h",
+             "  } catch (const std::exception &Error) {\n"
+             "    recordContained(Counters, Where, Error);\n",
+             "  } catch (int) {\n")]),
+    variant("success_without_a_part", [
+        edit(CORE + "Query/query_run.cpp",
+             "bool NoneAsked = Covered.Asked == 0 && !Route;",
+             "bool NoneAsked = Covered.Asked == 0 || Profile.Coverage == 0;")]),
+    variant("leaving_upstream", [
+        edit(CORE + "Routing/excluded_processes.cpp",
+             "if (Leaving)\n    return time_point::max();", "(void)Leaving;"),
+        edit(DAEMON + "upstreams_thread.cpp", "if (Unwanted)", "if (false)")]),
+    variant("pausing_upstream", [
+        edit(CORE + "Routing/excluded_processes.cpp",
+             "std::max(Record.MisdirectedUntil, Record.PausedUntil)",
+             "Record.MisdirectedUntil"),
+        edit(DAEMON + "upstreams_thread.cpp", "if (Unwanted)", "if (false)")]),
 ]
 
 
@@ -73,11 +99,12 @@
     """Builds the daemon of a variant. Returns the folder of its programs."""
     tree = folder / one.name
     subprocess.run(["git", "clone", "-q", ROOT, tree], check=True)
-    source = tree / one.file
-    text = source.read_text()
-    if text.count(one.mended) != 1:
-        sys.exit(f"{one.name}: {one.file} has changed")
-    source.write_text(text.replace(one.mended, one.broken))
+    for change in one.edits:
+        source = tree / change.file
+        text = source.read_text()
+        if text.count(change.mended) != 1:
+            sys.exit(f"{one.name}: {change.file} has changed")
+        source.write_text(text.replace(change.mended, change.broken))
     subprocess.run(["cmake", "-S", tree, "-B", tree / "build", "-G", "Ninja",
                     "-DMASTICPROXY_DAEMON_ONLY=ON", "-DCMAKE_CXX_FLAGS=-w",
                     "-DCMAKE_BUILD_TYPE=Release"],
