The soak reads the peak of each VM's memory

The variant endless_answer was not found: with an address space of 182 MB the answer ends in exhausted memory, which is contained, so that no process ended.

--- a/soak/promise_book.cpp
+++ b/soak/promise_book.cpp
@@ -179,6 +179,11 @@
         {"ends_cleanly", Name, "ended with " + std::to_string(ExitCode)});
 }
 
+void promise_book::vmMemory(unsigned Vm, std::uint64_t Peak) {
+  Broken.push_back({"memory", "vm " + std::to_string(Vm),
+                    "held " + std::to_string(Peak) + " bytes"});
+}
+
 void promise_book::finish() {
   bool Often = Held >= HeldAtLeast && HeldPart * Held > Long;
   if (Often)
--- a/soak/promise_book.h
+++ b/soak/promise_book.h
@@ -65,6 +65,8 @@
   void left(const std::string &Id);
   /// A VM's process ended without being killed.
   void vmEnded(unsigned Vm, bool Asked, int ExitCode);
+  /// A VM's process has held \p Peak bytes, more than it may.
+  void vmMemory(unsigned Vm, std::uint64_t Peak);
   /// @}
 
   /// \returns the newest version of the configuration.
--- a/soak/soak_timing.h
+++ b/soak/soak_timing.h
@@ -2,6 +2,7 @@
 #define MASTICPROXY_SOAK_SOAK_TIMING_H
 
 #include <chrono>
+#include <cstdint>
 
 /// \file
 /// Bounds of the promises, as the users' rules give them for the sites of
@@ -44,6 +45,9 @@
 /// Time from SIGTERM until a process has to be gone.
 inline constexpr std::chrono::milliseconds Grace{6000};
 
+/// Resident memory of a VM's process at its peak.
+inline constexpr std::uint64_t MostPeakBytes = 100ULL << 20U;
+
 /// Time from the start of a process until its own code surely runs: before that
 /// SIGTERM ends it, and it has taken no request.
 inline constexpr std::chrono::milliseconds LoadTime{100};
--- a/soak/soak_vm.cpp
+++ b/soak/soak_vm.cpp
@@ -4,6 +4,7 @@
 #include "soak_timing.h"
 
 #include <csignal>
+#include <utility>
 
 using namespace masticproxy;
 using namespace masticproxy::soak;
@@ -13,6 +14,9 @@
 /// Time from the end of a process to its next start.
 constexpr std::chrono::milliseconds RestartDelay{300};
 
+/// How often the peak of a process's memory is read.
+constexpr std::chrono::milliseconds MemoryCheckInterval{500};
+
 /// Exit code that the harness gives a process which SIGKILL ended.
 constexpr int KilledExit = 128 + SIGKILL;
 
@@ -30,6 +34,7 @@
   ++Starts;
   StartedAt = Clock.now();
   Killed = false;
+  OverMemory = false;
   TerminatedAt.reset();
   EndedAt.reset();
   Process =
@@ -79,6 +84,18 @@
           Process->waitForExit(std::chrono::milliseconds{0}))
     return onEnd(*Exit);
   killIfOverdue();
+  checkMemory();
+}
+
+void soak_vm::checkMemory() {
+  // A sanitizer keeps what was freed.
+  bool Counts = smallestVmLimits().AddressSpaceBytes.has_value();
+  if (!Counts || Clock.now() < MemoryCheckAt)
+    return;
+  MemoryCheckAt = Clock.now() + MemoryCheckInterval;
+  std::uint64_t Peak = Process->peakBytes();
+  if (Peak > MostPeakBytes && !std::exchange(OverMemory, true))
+    Book.vmMemory(Number, Peak);
 }
 
 void soak_vm::onEnd(int ExitCode) {
--- a/soak/soak_vm.h
+++ b/soak/soak_vm.h
@@ -42,6 +42,7 @@
 private:
   void onEnd(int ExitCode);
   void killIfOverdue();
+  void checkMemory();
 
   const clock &Clock;
   promise_book &Book;
@@ -53,6 +54,8 @@
   unsigned Pauses = 0;
   time_point StartedAt{};
   bool Killed = false;
+  bool OverMemory = false;
+  time_point MemoryCheckAt{};
   std::optional<time_point> TerminatedAt;
   std::optional<time_point> EndedAt;
 };
--- a/tools/soak_variants.py
+++ b/tools/soak_variants.py
@@ -58,7 +58,10 @@
              'return "service:" + std::string(Route);')]),
     variant("endless_answer", [
         edit(NET + "http_connection.cpp", "MaxBufferedBytes = 32U << 10U;",
-             "MaxBufferedBytes = 1U << 31U;")]),
+             "MaxBufferedBytes = 1U << 31U;"),
+        edit(NET + "http_connection.cpp",
+             "Parser->get().body().capacity() + Buffer.capacity()",
+             "Parser->get().body().capacity()")]),
     variant("lost_answer_to_a_watch", [
         edit(NET + "held_call.cpp", "at(Check.Due(), [this] { check(); });",
              "")]),
