--- a/soak/fault.cpp
+++ b/soak/fault.cpp
@@ -48,6 +48,9 @@
   std::string operator()(const upstream_pausing &F) {
     return named("pausing upstream", F.Upstream);
   }
+  std::string operator()(const all_refusing &) {
+    return "all upstreams refusing";
+  }
   std::string operator()(const shard_refusing &F) {
     return named("refusing shard", F.Shard);
   }
--- a/soak/fault.h
+++ b/soak/fault.h
@@ -92,13 +92,16 @@
   unsigned Shard = 0;
 };
 
+/// \brief All upstreams refuse all requests for a while.
+struct all_refusing {};
+
 /// What can happen to a site.
-using fault =
-    std::variant<vm_killed, vm_terminated, vm_paused, upstream_link_harmed,
-                 store_link_harmed, store_down, store_silent, store_compacted,
-                 configuration_written, upstream_drained, upstream_slowed,
-                 upstream_refusing, upstream_failing, store_watch_lost,
-                 upstream_leaving, upstream_pausing, shard_refusing>;
+using fault = std::variant<vm_killed, vm_terminated, vm_paused,
+                           upstream_link_harmed, store_link_harmed, store_down,
+                           store_silent, store_compacted, configuration_written,
+                           upstream_drained, upstream_slowed, upstream_refusing,
+                           upstream_failing, store_watch_lost, upstream_leaving,
+                           upstream_pausing, shard_refusing, all_refusing>;
 
 /// \brief A fault with its time.
 struct planned_fault {
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -157,7 +157,7 @@
     const fault Kinds[] = {upstream_leaving{Upstream},
                            upstream_pausing{Upstream},
                            upstream_link_harmed{Upstream, link_mode::Endless},
-                           shard_refusing{Upstream / Replicas}};
+                           shard_refusing{Upstream / Replicas}, all_refusing{}};
     const fault &What = Kinds[Draws.number(0, std::size(Kinds) - 1)];
     Plan.push_back(
         {Draws.span(0, LastMs), Draws.span(ShortestOddMs, LongestOddMs), What});
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -302,6 +302,11 @@
   }
 }
 
+void soak_run::harm(const all_refusing &, duration Span) {
+  for (unsigned I = 0; I < UpstreamCount; ++I)
+    harm(upstream_refusing{I}, Span);
+}
+
 void soak_run::setState(unsigned Upstream, const char *State) {
   Site.registerUpstream(Upstream / small_site::Replicas,
                         Upstream % small_site::Replicas, State);
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -53,6 +53,7 @@
   void harm(const upstream_leaving &Fault, duration Span);
   void harm(const upstream_pausing &Fault, duration Span);
   void harm(const shard_refusing &Fault, duration Span);
+  void harm(const all_refusing &Fault, duration Span);
   /// @}
 
 private:
--- a/soak/tests/promise_book_test.cpp
+++ b/soak/tests/promise_book_test.cpp
@@ -118,6 +118,12 @@
   cr_assert(F.broke("own_whole_answer"));
 }
 
+Test(promise_book, sees_a_process_that_holds_too_much) {
+  book_fixture F;
+  F.Book.vmMemory(0, MostPeakBytes + 1);
+  cr_assert(F.broke("memory"));
+}
+
 Test(promise_book, sees_bytes_after_an_answer) {
   book_fixture F;
   F.send(request_kind::One);
