A drain is not held against the next start of an upstream

By its plan and the VMs' logs: the upstream drained at 7.667 s, a leave ended at 8.927 s with a new start, which the stand-in registered as ready; two VMs read draining=false at that moment and used it, as they may. The soak's book went on counting the drain of the process before, so the check was wrong and not the daemon.

Test: promise_book:lets_a_new_start_of_a_draining_upstream_get_work failed before; it also holds that without a new start the promise is broken as before.

--- a/soak/promise_book.cpp
+++ b/soak/promise_book.cpp
@@ -97,6 +97,8 @@
 }
 
 void promise_book::startedAgain(unsigned Upstream) {
+  // It registers as ready, whatever was said of the process before it.
+  DrainedAt[Upstream].reset();
   LeavingSince[Upstream].reset();
   std::erase_if(LeavingPassedOn, [Upstream](const auto &Entry) {
     return Entry.first.second == Upstream;
--- a/soak/tests/odd_upstream_test.cpp
+++ b/soak/tests/odd_upstream_test.cpp
@@ -103,3 +103,17 @@
   F.run(0);
   cr_assert(F.broke("leaving"));
 }
+
+// Seed 903: an upstream that drains leaves and starts again, and is ready then.
+Test(promise_book, lets_a_new_start_of_a_draining_upstream_get_work) {
+  for (bool StartsAgain : {true, false}) {
+    book_fixture F;
+    F.Book.drained(0);
+    if (StartsAgain)
+      F.Book.startedAgain(0);
+    F.Clock.advance(DrainWithin + milliseconds(1));
+    F.send(request_kind::One);
+    F.run(0);
+    cr_assert(StartsAgain ? F.kept() : F.broke("drain"));
+  }
+}
