--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -230,24 +230,58 @@
   explicit tcp_server(std::function<void(int)> Serve) : Serve(std::move(Serve)) {
     Listener = listenAnywhere(Port);
     std::thread([this] {
-      for (;;) {
-        int Fd = accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
-        if (Fd < 0)
-          continue;
-        int One = 1;
-        setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &One, sizeof(One));
-        std::thread([this, Fd] {
-          this->Serve(Fd);
-          close(Fd);
-        }).detach();
-      }
+      for (;;)
+        acceptOne();
     }).detach();
   }
   int port() const { return Port; }
   std::string address() const { return "127.0.0.1:" + std::to_string(Port); }
 
+  /// Ends all connections, and refuses new ones for \p PauseMs.
+  void crash(double PauseMs) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    BackAt = nowMs() + PauseMs;
+    shutdown(Listener, SHUT_RDWR);
+    for (int Fd : Open)
+      shutdown(Fd, SHUT_RDWR);
+  }
+
 private:
+  void acceptOne() {
+    int Fd = accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (Fd < 0) {
+      double Back = 0;
+      {
+        std::lock_guard<std::mutex> Lock(Mutex);
+        Back = BackAt;
+        if (Back > nowMs())
+          close(Listener);
+      }
+      if (Back <= nowMs())
+        return sleepMs(1);
+      sleepUntilMs(Back);
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Listener = listenAnywhere(Port);
+      return;
+    }
+    int One = 1;
+    setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &One, sizeof(One));
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Open.insert(Fd);
+    }
+    std::thread([this, Fd] {
+      Serve(Fd);
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Open.erase(Fd);
+      close(Fd);
+    }).detach();
+  }
+
   std::function<void(int)> Serve;
+  std::mutex Mutex;
+  std::set<int> Open;
+  double BackAt = 0;
   int Port = 0;
   int Listener = -1;
 };
@@ -489,10 +523,25 @@
       : Service(std::move(Service)), Id(std::move(Id)), Run(std::move(Run)),
         Listener([this](int Fd) { serve(Fd); }) {}
 
-  const std::string Service, Id;
+  const std::string Service;
 
   std::string address() const { return Listener.address(); }
 
+  /// The id of this start of the server.
+  std::string id() const {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return Id;
+  }
+
+  /// Ends the server; it is back after \p PauseMs, with the id \p NewId.
+  void crash(double PauseMs, const std::string &NewId) {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Id = NewId;
+    }
+    Listener.crash(PauseMs);
+  }
+
   std::string registration(const std::string &State = "ready") const {
     return "{\"service\":\"" + Service + "\",\"address\":\"" + address() +
            "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":6,\"state\":\"" +
@@ -500,7 +549,7 @@
   }
 
   std::string stamp(const std::string &Request) const {
-    return "s." + Id + "." + Request;
+    return "s." + id() + "." + Request;
   }
 
   /// \returns the fields of an answer that the server gives of its own.
@@ -516,7 +565,7 @@
       std::string RequestId = Request->field("x-masticproxy-request-id");
       std::string Expected = Request->field("x-masticproxy-expected-instance");
       std::string Answer;
-      if (!Expected.empty() && Expected != Id)
+      if (!Expected.empty() && Expected != id())
         Answer = responseText(421,
                               "X-Masticproxy-Request-Id: " + RequestId +
                                   "\r\nX-Masticproxy-Not-Executed: 1\r\n",
@@ -528,6 +577,8 @@
     }
   }
 
+  mutable std::mutex Mutex;
+  std::string Id;
   behaviour Run;
   tcp_server Listener;
 };
@@ -560,6 +611,18 @@
   return Root;
 }
 
+/// Bounds of a site, in milliseconds; those of kgotla-search if not set.
+struct bounds {
+  int ConfigApplyMs = 3000;
+  int DrainMs = 3000;
+  int StableWindowMs = 4000;
+};
+
+inline bounds &siteBounds() {
+  static bounds Bounds;
+  return Bounds;
+}
+
 /// One masticproxyd, with the settings of deploy/node.toml.
 class vm {
 public:
@@ -579,9 +642,9 @@
         {"ip", "127.0.0.1"},
         {"internalPortRange.0", std::to_string(Peers)},
         {"platform.address", Store},
-        {"bounds.configApplyMs", "3000"},
-        {"bounds.drainMs", "3000"},
-        {"bounds.stableWindowMs", "4000"},
+        {"bounds.configApplyMs", std::to_string(siteBounds().ConfigApplyMs)},
+        {"bounds.drainMs", std::to_string(siteBounds().DrainMs)},
+        {"bounds.stableWindowMs", std::to_string(siteBounds().StableWindowMs)},
         {"bounds.budgetWindowS", "10"}};
     for (const auto &[Key, Value] : Fields) {
       std::string Mark = std::string("{{") + Key + "}}";
