--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,5 +1,5 @@
 // The store's copies are some seconds old, and machines take their
-// configuration from them: the old version stays in force for too long.
+// configuration from them: a key that was taken away is accepted for too long.
 #include "../common-2/harness.h"
 
 using namespace harness;
@@ -14,17 +14,18 @@
 constexpr double MarginMs = 50;
 
 std::mutex Mutex;
-std::map<std::string, std::string> RanBy; // id -> service
+std::map<std::string, std::string> RanBy; // id -> server
+const std::string Key = "key-that-goes";
 
-std::string configuration(int Version, const std::string &Service) {
+std::string configuration(int Version, const std::string &Keys) {
   return R"({"version":)" + std::to_string(Version) +
-         R"(,"routes":[{"name":"proof-fetch","hostname":"search.example",)"
-         R"("pathPrefix":"/proof/","routeType":"idempotent","timeoutMs":5000,)"
-         R"("targetLatencyMs":500,"priority":2,"service":")" +
-         Service +
-         R"(","maxAttempts":3}],"services":[{"name":"proof-room","healthPath":)"
-         R"("/health","maxConns":232},{"name":"stock-ledger","healthPath":)"
-         R"("/health","maxConns":232}],"limits":{"maxBodyBytes":65536,)"
+         R"(,"routes":[{"name":"feed-refresh","hostname":"search.example",)"
+         R"("pathPrefix":"/feed/","routeType":"idempotent","timeoutMs":5000,)"
+         R"("targetLatencyMs":800,"priority":2,"service":"feed-room",)"
+         R"("maxAttempts":3}],"tenants":[{"name":"acme","apiKeys":[)" +
+         Keys +
+         R"(]}],"services":[{"name":"feed-room","healthPath":"/health",)"
+         R"("maxConns":232}],"limits":{"maxBodyBytes":65536,)"
          R"("maxHeaderBytes":16384,"headerTimeoutMs":5000,)"
          R"("idleTimeoutMs":15000}})";
 }
@@ -48,8 +49,8 @@
     sent One;
     One.Id = Vm.Name + "-" + std::to_string(I);
     One.At = nowMs();
-    if (Fd >= 0 && sendAll(Fd, requestText("GET", "/proof/" + One.Id, One.Id,
-                                           5000))) {
+    if (Fd >= 0 && sendAll(Fd, requestText("GET", "/feed/" + One.Id, One.Id,
+                                           4000, "", Key))) {
       auto Answer = readMessage(Fd, Buffer, 6000);
       One.Status = Answer ? Answer->status() : 0;
       if (!Answer || Answer->field("connection") == "close") {
@@ -74,22 +75,22 @@
   if (trouble())
     Store.LagMs = CopyAgeMs;
   std::vector<std::unique_ptr<server>> All;
-  for (std::string Service : {"proof-room", "stock-ledger"})
-    for (int I = 0; I < 4; ++I) {
-      std::string Id = Service + std::to_string(I);
-      All.push_back(std::make_unique<server>(
-          Service, Id,
-          [](server &S, const message &, const std::string &Request) {
-            {
-              std::lock_guard<std::mutex> Lock(Mutex);
-              RanBy[Request] = S.Service;
-            }
-            sleepMs(10);
-            return responseText(200, S.ownFields(Request), "record");
-          }));
-      Store.put("servers", Id, All.back()->registration());
-    }
-  Store.put("config", "main", configuration(1, "proof-room"));
+  for (int I = 0; I < 6; ++I) {
+    std::string Id = "feed" + std::to_string(I);
+    All.push_back(std::make_unique<server>(
+        "feed-room", Id,
+        [](server &S, const message &, const std::string &Request) {
+          {
+            std::lock_guard<std::mutex> Lock(Mutex);
+            RanBy[Request] = S.id();
+          }
+          sleepMs(10);
+          return responseText(200, S.ownFields(Request), "record");
+        }));
+    Store.put("servers", Id, All.back()->registration());
+  }
+  Store.put("config", "main",
+            configuration(1, "\"" + Key + "\",\"key-that-stays\""));
   for (int I = 0; I < Vms; ++I)
     addVm("front" + std::to_string(I), Store.address()).start();
   for (auto &Vm : allVms())
@@ -101,8 +102,8 @@
     Clients.emplace_back([&Vm, Change] { client(*Vm, Change + 15000); });
   sleepUntilMs(Change);
   double Acknowledged =
-      Store.put("config", "main", configuration(2, "stock-ledger"));
-  record("version 2 is acknowledged");
+      Store.put("config", "main", configuration(2, "\"key-that-stays\""));
+  record("version 2, without the key, is acknowledged");
   for (std::thread &Client : Clients)
     Client.join();
 
@@ -118,19 +119,19 @@
              "by %s",
              One.Id.c_str(), One.At, One.At - Acknowledged, One.Status,
              By.c_str());
-    if (By == "proof-room")
+    if (By != "no server")
       LastOld = std::max(LastOld, One.At - Acknowledged);
     if (One.At < From)
       continue;
     ++Due;
-    Old += By == "proof-room";
+    Old += By != "no server";
   }
   if (Due == 0)
     giveUp("no requests");
   finish(Old > 0, std::to_string(Old) + " of " + std::to_string(Due) +
                       " requests, sent by clients later than configApplyMs "
-                      "after the acknowledgement, were run by the old service; "
-                      "the last was sent " +
+                      "after the acknowledgement, were run with the key that it "
+                      "took away; the last was sent " +
                       std::to_string(static_cast<int>(LastOld)) +
                       " ms after it");
 }
--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -804,11 +804,14 @@
 /// \returns a request of a client attempt.
 inline std::string requestText(const std::string &Method,
                                const std::string &Path, const std::string &Id,
-                               int DeadlineMs, const std::string &Body = "") {
+                               int DeadlineMs, const std::string &Body = "",
+                               const std::string &Key = "") {
   std::string Text = Method + " " + Path + " HTTP/1.1\r\nHost: search.example\r\n" +
                      "X-Masticproxy-Request-Id: " + Id +
                      "\r\nX-Masticproxy-Deadline-Ms: " +
                      std::to_string(DeadlineMs) + "\r\n";
+  if (!Key.empty())
+    Text += "X-Masticproxy-Key: " + Key + "\r\n";
   if (!Body.empty())
     Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   return Text + "\r\n" + Body;
