--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -45,7 +45,8 @@
       continue;
     C.Id = Vm.Name + "-" + std::to_string(Round) + "-" + std::to_string(I);
     C.SentAt = nowMs();
-    if (!sendAll(C.Fd, requestText("GET", "/proof/" + C.Id, C.Id, DeadlineMs))) {
+    if (!sendAll(C.Fd,
+                 requestText("GET", "/proof/" + C.Id, C.Id, DeadlineMs))) {
       close(C.Fd); // closed before anything could be sent
       C.Fd = -1;
       continue;
@@ -148,7 +149,8 @@
   std::vector<std::thread> Clients;
   for (int I = 0; I < Restarted; ++I)
     Clients.emplace_back([I, First, Until] {
-      clientsOf(*allVms()[static_cast<std::size_t>(I)], First + 10.0 * I, Until);
+      clientsOf(*allVms()[static_cast<std::size_t>(I)], First + 10.0 * I,
+                Until);
     });
   // One machine after the other, stopped and started again.
   std::thread Operator([First] {
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -128,10 +128,10 @@
   }
   if (Due == 0)
     giveUp("no requests");
-  finish(Old > 0, std::to_string(Old) + " of " + std::to_string(Due) +
-                      " requests, sent by clients later than configApplyMs "
-                      "after the acknowledgement, were run with the key that it "
-                      "took away; the last was sent " +
-                      std::to_string(static_cast<int>(LastOld)) +
-                      " ms after it");
+  finish(Old > 0,
+         std::to_string(Old) + " of " + std::to_string(Due) +
+             " requests, sent by clients later than configApplyMs "
+             "after the acknowledgement, were run with the key that it "
+             "took away; the last was sent " +
+             std::to_string(static_cast<int>(LastOld)) + " ms after it");
 }
--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -63,7 +63,8 @@
 inline void sleepUntilMs(double Ms) { sleepMs(std::max(0.0, Ms - nowMs())); }
 
 /// Writes a line to record.txt, with the time.
-inline void record(const char *Format, ...) __attribute__((format(printf, 1, 2)));
+inline void record(const char *Format, ...)
+    __attribute__((format(printf, 1, 2)));
 inline void record(const char *Format, ...) {
   static std::mutex Mutex;
   static FILE *File = std::fopen("record.txt", "w");
@@ -104,11 +105,26 @@
   return Fd;
 }
 
-/// \returns a port that was free a moment ago.
+/// \returns a port that was free a moment ago, outside the range from which the
+/// system gives ports to outgoing connections.
 inline int freePort() {
-  int Port = 0;
-  close(listenAnywhere(Port));
-  return Port;
+  static std::atomic<int> Next{
+      12000 +
+      static_cast<int>((static_cast<unsigned>(getpid()) * 97U) % 15000U)};
+  for (int Tries = 0; Tries < 10000; ++Tries) {
+    int Port = 12000 + (Next++ - 12000) % 18000;
+    int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_port = htons(static_cast<std::uint16_t>(Port));
+    int Bound =
+        bind(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+    close(Fd);
+    if (Bound == 0)
+      return Port;
+  }
+  giveUp("no free port");
 }
 
 inline int connectTo(int Port) {
@@ -156,7 +172,9 @@
   int status() const {
     return FirstLine.size() > 12 ? std::atoi(FirstLine.c_str() + 9) : 0;
   }
-  std::string method() const { return FirstLine.substr(0, FirstLine.find(' ')); }
+  std::string method() const {
+    return FirstLine.substr(0, FirstLine.find(' '));
+  }
   std::string target() const {
     std::size_t From = FirstLine.find(' ') + 1;
     return FirstLine.substr(From, FirstLine.find(' ', From) - From);
@@ -187,8 +205,8 @@
     Message.Fields.emplace_back(
         Name, From == std::string::npos ? "" : Line.substr(From));
   }
-  std::size_t Length =
-      static_cast<std::size_t>(std::atoll(Message.field("content-length").c_str()));
+  std::size_t Length = static_cast<std::size_t>(
+      std::atoll(Message.field("content-length").c_str()));
   if (Buffer.size() < End + 4 + Length)
     return std::nullopt;
   Message.Body = Buffer.substr(End + 4, Length);
@@ -227,7 +245,8 @@
 /// Serves connections, each with a thread of its own.
 class tcp_server {
 public:
-  explicit tcp_server(std::function<void(int)> Serve) : Serve(std::move(Serve)) {
+  explicit tcp_server(std::function<void(int)> Serve)
+      : Serve(std::move(Serve)) {
     Listener = listenAnywhere(Port);
     std::thread([this] {
       for (;;)
@@ -382,9 +401,8 @@
     std::size_t At = Target.find('?');
     while (At != std::string::npos) {
       std::size_t End = Target.find('&', At + 1);
-      std::string Pair = Target.substr(At + 1, End == std::string::npos
-                                                   ? End
-                                                   : End - At - 1);
+      std::string Pair =
+          Target.substr(At + 1, End == std::string::npos ? End : End - At - 1);
       if (Pair.rfind(Key + "=", 0) == 0)
         return Pair.substr(Key.size() + 1);
       At = End;
@@ -454,8 +472,8 @@
       for (const change &One : History)
         if (One.Kind == Kind && One.Revision > After && One.Revision <= Seen)
           Events += (Events.empty() ? "" : ",") +
-                    ("{\"object\":" + objectText(One) + ",\"deleted\":" +
-                     (One.Deleted ? "true" : "false") + "}");
+                    ("{\"object\":" + objectText(One) +
+                     ",\"deleted\":" + (One.Deleted ? "true" : "false") + "}");
       double Left = Latest - nowMs();
       if (!Events.empty() || Left <= 0) {
         HeldWatches.erase(Id);
@@ -470,9 +488,8 @@
 
   static std::string specOf(const std::string &Body) {
     std::size_t At = Body.find("\"spec\":");
-    return At == std::string::npos
-               ? "null"
-               : Body.substr(At + 7, Body.size() - At - 8);
+    return At == std::string::npos ? "null"
+                                   : Body.substr(At + 7, Body.size() - At - 8);
   }
 
   std::string change_(const message &Request, const std::string &Kind,
@@ -516,8 +533,8 @@
 class server {
 public:
   /// What a server makes of a request that it begins to run.
-  using behaviour =
-      std::function<std::string(server &, const message &, const std::string &)>;
+  using behaviour = std::function<std::string(server &, const message &,
+                                              const std::string &)>;
 
   server(std::string Service, std::string Id, behaviour Run)
       : Service(std::move(Service)), Id(std::move(Id)), Run(std::move(Run)),
@@ -544,7 +561,8 @@
 
   std::string registration(const std::string &State = "ready") const {
     return "{\"service\":\"" + Service + "\",\"address\":\"" + address() +
-           "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":6,\"state\":\"" +
+           "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":6,\"state\":"
+           "\"" +
            State + "\",\"coldLeftMs\":0,\"sequence\":1,\"born\":1700000000000}";
   }
 
@@ -806,10 +824,10 @@
                                const std::string &Path, const std::string &Id,
                                int DeadlineMs, const std::string &Body = "",
                                const std::string &Key = "") {
-  std::string Text = Method + " " + Path + " HTTP/1.1\r\nHost: search.example\r\n" +
-                     "X-Masticproxy-Request-Id: " + Id +
-                     "\r\nX-Masticproxy-Deadline-Ms: " +
-                     std::to_string(DeadlineMs) + "\r\n";
+  std::string Text =
+      Method + " " + Path + " HTTP/1.1\r\nHost: search.example\r\n" +
+      "X-Masticproxy-Request-Id: " + Id +
+      "\r\nX-Masticproxy-Deadline-Ms: " + std::to_string(DeadlineMs) + "\r\n";
   if (!Key.empty())
     Text += "X-Masticproxy-Key: " + Key + "\r\n";
   if (!Body.empty())
