A closed session hands nothing on, and one with bytes to read is not idle

Cause: a session had a wait for its caller's leaving and a read on one socket. Both complete in one turn of the loop; the wait's handler runs first, the read's goes to the end of the queue. A stop or the idle timeout that ran in between found the session idle and closed it, and the read's handler, which had no error, handed the request on all the same.

Change: all completion handlers of a session pass through unlessClosed(), and an idle session waits for bytes without reading them. A stop, the idle timeout and the choice of the longest idle session look for unread bytes before they close. A session whose request has begun to arrive at the stop is served, with "Connection: close". The wait and the read are one operation.

Evidence: four tests in net_http_connections_test.

--- a/packages/net/masticproxy/src/Net/http_server.cpp
+++ b/packages/net/masticproxy/src/Net/http_server.cpp
@@ -70,7 +70,9 @@
       auto Session = Weak.lock();
       if (!Session || !Session->idleSince())
         continue;
-      if (!Longest || *Session->idleSince() < *Longest->idleSince())
+      bool Longer = !Longest || *Session->idleSince() < *Longest->idleSince();
+      // One whose request has come, but was not read yet, is not idle.
+      if (Longer && !Session->hasUnreadBytes())
         Longest = std::move(Session);
     }
     return Longest;
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -60,6 +60,14 @@
   setTcpOptions(Stream.socket());
 }
 
+template <typename step_type> auto http_session::unlessClosed(step_type Step) {
+  return [Self = shared_from_this(),
+          Step](const boost::system::error_code &Error, auto... Rest) {
+    if (!Self->Closed)
+      Step(*Self, Error, Rest...);
+  };
+}
+
 http_session::~http_session() {
   endWait();
   release();
@@ -68,22 +76,26 @@
 void http_session::start() {
   if (Rules->Limits.SetupDelay.count() == 0)
     return read();
+  IdleSince = std::chrono::steady_clock::now();
   Timer.expires_after(Rules->Limits.SetupDelay);
-  Timer.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Error) {
+  Timer.async_wait(unlessClosed(
+      [](http_session &Self, const boost::system::error_code &Error) {
         if (!Error)
-          Self->read();
-      });
+          Self.read();
+      }));
 }
 
 void http_session::closeWhenIdle() {
   Closing = true;
-  if (!Busy)
+  // A request that has arrived is served, although none of it was read yet.
+  if (IdleSince && !hasUnreadBytes())
     close();
 }
 
 void http_session::close() {
+  Closed = true;
   IdleSince.reset();
+  Timer.cancel();
   endWait();
   release();
   boost::system::error_code Ignored;
@@ -92,6 +104,8 @@
   Stream.close();
 }
 
+bool http_session::hasUnreadBytes() { return !peek(Stream.socket()); }
+
 void http_session::read() {
   HeaderLate = false;
   Method = boost::beast::http::verb::unknown;
@@ -101,32 +115,61 @@
   IdleSince = std::chrono::steady_clock::now();
   awaitIdleEnd();
   Stream.expires_never();
-  Stream.async_read_some(
-      Buffer.prepare(FirstReadBytes),
-      [Self = shared_from_this()](const boost::system::error_code &Error,
-                                  std::size_t Bytes) {
-        Self->IdleSince.reset();
-        Self->Timer.cancel();
-        if (Error)
-          return Self->close();
-        Self->Buffer.commit(Bytes);
-        Self->parseBuffered();
-      });
+  awaitBytes();
+}
+
+// Waits without reading: bytes that a read has taken, but whose handler has not
+// had its turn, could not be told from an idle connection.
+void http_session::awaitBytes() {
+  if (std::exchange(AwaitsBytes, true))
+    return;
+  Stream.socket().async_wait(
+      boost::asio::ip::tcp::socket::wait_read,
+      unlessClosed(
+          [](http_session &Self, const boost::system::error_code &Error) {
+            Self.AwaitsBytes = false;
+            if (!Error)
+              Self.onReadable();
+          }));
+}
+
+void http_session::onReadable() {
+  if (Busy)
+    return checkCaller();
+  if (IdleSince)
+    readAvailable();
+}
+
+void http_session::readAvailable() {
+  boost::system::error_code Error;
+  // Asked for first, as setting it is a system call.
+  if (!Stream.socket().non_blocking())
+    Stream.socket().non_blocking(true, Error);
+  std::size_t Bytes =
+      Stream.socket().read_some(Buffer.prepare(FirstReadBytes), Error);
+  if (Error == boost::asio::error::would_block)
+    return awaitBytes();
+  if (Error)
+    return close();
+  IdleSince.reset();
+  Timer.cancel();
+  Buffer.commit(Bytes);
+  parseBuffered();
 }
 
 void http_session::awaitIdleEnd() {
   Timer.expires_at(*IdleSince + Rules->Limits.IdleTimeout);
-  Timer.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Error) {
-        if (Error || !Self->IdleSince)
-          return;
-        // Callers go by the limits in force now, not by those of then.
-        Self->Rules->renewLimits();
-        if (Self->Timer.expiry() <
-            *Self->IdleSince + Self->Rules->Limits.IdleTimeout)
-          return Self->awaitIdleEnd();
-        Self->close();
-      });
+  Timer.async_wait(unlessClosed([](http_session &Self,
+                                   const boost::system::error_code &Error) {
+    if (Error || !Self.IdleSince)
+      return;
+    // Callers go by the limits in force now, not by those of then.
+    Self.Rules->renewLimits();
+    if (Self.Timer.expiry() < *Self.IdleSince + Self.Rules->Limits.IdleTimeout)
+      return Self.awaitIdleEnd();
+    if (!Self.hasUnreadBytes())
+      Self.close();
+  }));
 }
 
 void http_session::parseBuffered() {
@@ -154,22 +197,22 @@
   beginWait();
   Stream.expires_never();
   Timer.expires_after(Rules->Limits.HeaderTimeout);
-  Timer.async_wait(
-      [Self = shared_from_this()](const boost::system::error_code &Error) {
+  Timer.async_wait(unlessClosed(
+      [](http_session &Self, const boost::system::error_code &Error) {
         if (Error)
           return;
-        Self->HeaderLate = true;
-        Self->Stream.cancel();
-      });
+        Self.HeaderLate = true;
+        Self.Stream.cancel();
+      }));
   http::async_read_header(
       Stream, Buffer, *Parser,
-      [Self = shared_from_this()](const boost::system::error_code &Error,
-                                  std::size_t) {
-        Self->Timer.cancel();
-        if (Error || Self->Parser->is_done())
-          return Self->onRead(Error);
-        Self->startBody();
-      });
+      unlessClosed([](http_session &Self,
+                      const boost::system::error_code &Error, std::size_t) {
+        Self.Timer.cancel();
+        if (Error || Self.Parser->is_done())
+          return Self.onRead(Error);
+        Self.startBody();
+      }));
 }
 
 void http_session::startBody() {
@@ -186,12 +229,12 @@
   beginWait();
   http::async_read_some(
       Stream, Buffer, *Parser,
-      [Self = shared_from_this()](const boost::system::error_code &Error,
-                                  std::size_t) {
-        if (Error || Self->Parser->is_done())
-          return Self->onRead(Error);
-        Self->readBody();
-      });
+      unlessClosed([](http_session &Self,
+                      const boost::system::error_code &Error, std::size_t) {
+        if (Error || Self.Parser->is_done())
+          return Self.onRead(Error);
+        Self.readBody();
+      }));
 }
 
 std::size_t http_session::requestBytes() const {
@@ -258,7 +301,7 @@
   http_request Request = fromBeast(Parser->release());
   Serial = Request.Serial = ++Rules->LastSerial;
   if (Rules->CallerGone)
-    watchCaller();
+    awaitBytes();
   handle(std::move(Request));
 }
 
@@ -275,27 +318,21 @@
   }
 }
 
-void http_session::watchCaller() {
-  if (std::exchange(Watching, true))
-    return;
-  Stream.socket().async_wait(
-      boost::asio::ip::tcp::socket::wait_read,
-      [Self = shared_from_this()](const boost::system::error_code &Error) {
-        Self->Watching = false;
-        if (Error || !Self->Busy || !Self->callerLeft())
-          return;
-        Self->Rules->CallerGone(Self->Serial);
-        Self->close();
-      });
-}
-
-bool http_session::callerLeft() {
+void http_session::checkCaller() {
   boost::system::error_code Error = peek(Stream.socket());
-  // A further request may be waiting to be read.
-  return Error && Error != boost::asio::error::would_block;
+  // Another read has taken the bytes that ended the wait.
+  if (Error == boost::asio::error::would_block)
+    return awaitBytes();
+  // A further request is read after the response.
+  if (!Error)
+    return;
+  Rules->CallerGone(Serial);
+  close();
 }
 
 void http_session::respond(http_response Response) {
+  if (Closed)
+    return;
   // The parser knows of no keep-alive before it has read a whole header.
   bool Keep = !Closing && !Rejected && KeepAlive;
   Out = toBeast(std::move(Response), Keep, Method);
@@ -305,20 +342,21 @@
   Rules->Memory->takeAnyway(HeldBytes, std::chrono::steady_clock::now());
   beginWait();
   Stream.expires_after(Rules->Limits.IdleTimeout);
-  http::async_write(Stream, *Out,
-                    [Self = shared_from_this()](
-                        const boost::system::error_code &Error, std::size_t) {
-                      Self->Busy = false;
-                      Self->endWait();
-                      Self->release();
-                      if (!Error && Self->Rejected)
-                        return Self->readOutRejected();
-                      // Not by Closing: a response that promised to keep the
-                      // connection may have been on its way when that was set.
-                      if (Error || !Self->Out->keep_alive())
-                        return Self->close();
-                      Self->read();
-                    });
+  http::async_write(
+      Stream, *Out,
+      unlessClosed([](http_session &Self,
+                      const boost::system::error_code &Error, std::size_t) {
+        Self.Busy = false;
+        Self.endWait();
+        Self.release();
+        if (!Error && Self.Rejected)
+          return Self.readOutRejected();
+        // Not by Closing: a response that promised to keep the connection may
+        // have been on its way when that was set.
+        if (Error || !Self.Out->keep_alive())
+          return Self.close();
+        Self.read();
+      }));
 }
 
 void http_session::readOutRejected() {
@@ -338,10 +376,11 @@
     return close();
   Stream.async_read_some(
       boost::asio::buffer(Rules->Discarded),
-      [Self = shared_from_this(),
-       Already](const boost::system::error_code &Error, std::size_t Bytes) {
+      unlessClosed([Already](http_session &Self,
+                             const boost::system::error_code &Error,
+                             std::size_t Bytes) {
         if (Error)
-          return Self->close();
-        Self->discard(Already + Bytes);
-      });
+          return Self.close();
+        Self.discard(Already + Bytes);
+      }));
 }
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -30,19 +30,30 @@
   /// \returns whether the connection ends after its next response.
   bool ending() const { return Closing; }
 
-  /// Closes the connection after the response that is due, or now if none is.
+  /// Closes the connection now if it is idle, or else after the response to
+  /// the request that is under way or has begun to arrive.
   void closeWhenIdle();
 
-  /// Closes the connection at once.
+  /// Closes the connection at once. What was read of a request is dropped.
   void close();
 
+  /// \returns whether bytes of the caller wait in the socket to be read.
+  bool hasUnreadBytes();
+
   /// \returns since when the connection awaits a request; empty if it doesn't.
   std::optional<std::chrono::steady_clock::time_point> idleSince() const {
     return IdleSince;
   }
 
 private:
+  /// \returns a completion handler that runs \p Step, unless the session was
+  /// closed after the operation had completed and before the handler's turn.
+  template <typename step_type> auto unlessClosed(step_type Step);
   void read();
+  /// Waits until bytes can be read, or the caller has left.
+  void awaitBytes();
+  void onReadable();
+  void readAvailable();
   /// Closes the connection once it was silent for as long as the limits allow.
   void awaitIdleEnd();
   /// Takes what has come already.
@@ -52,9 +63,8 @@
   void readBody();
   void onRead(const boost::system::error_code &Error);
   void handle(http_request Request);
-  /// Finds out when the caller leaves before it has its response.
-  void watchCaller();
-  bool callerLeft();
+  /// Acts on a caller that has left before it has its response.
+  void checkCaller();
   /// Brings up to date what this connection takes of the server's memory.
   /// \returns false if there is no room for \p Bytes.
   bool hold(std::size_t Bytes);
@@ -80,6 +90,7 @@
   boost::asio::steady_timer Timer;
   bool Busy = false;
   bool Closing = false;
+  bool Closed = false;
   /// Of the request under way; unknown until it was read.
   boost::beast::http::verb Method = boost::beast::http::verb::unknown;
   /// The request under way lets its connection be kept.
@@ -87,8 +98,8 @@
   bool Rejected = false;
   /// The header took longer than the limits allow.
   bool HeaderLate = false;
-  /// A wait of watchCaller() is under way.
-  bool Watching = false;
+  /// A wait of awaitBytes() is under way.
+  bool AwaitsBytes = false;
   std::uint64_t Serial = 0;
   /// Taken from the server's memory.
   std::size_t HeldBytes = 0;
--- a/packages/net/tests/http_connections_test.cpp
+++ b/packages/net/tests/http_connections_test.cpp
@@ -12,6 +12,7 @@
 #include <criterion/criterion.h>
 
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace masticproxy;
@@ -28,10 +29,14 @@
       : Server(Context, "127.0.0.1:0", Limits,
                [this](const http_request &Request,
                       const http_server::responder &Respond) {
+                 ++HandedOn;
                  if (Request.Target == "/held")
                    return Held.push_back(Respond);
                  Respond({});
-               }) {}
+               }) {
+    // As in a VM, where a wait for the caller's leaving stands beside the read.
+    Server.onCallerGone([](std::uint64_t) {});
+  }
 
   tcp::socket connect() {
     tcp::socket Caller(Context);
@@ -45,6 +50,20 @@
     Context.run_for(Span);
   }
 
+  /// Lets \p Caller send a request that the server has not read yet.
+  static void send(tcp::socket &Caller) {
+    Caller.non_blocking(false);
+    boost::asio::write(Caller, boost::asio::buffer(Get));
+  }
+
+  /// \returns a connection that has served a request and is kept.
+  tcp::socket connectAndAsk() {
+    tcp::socket Caller = connect();
+    cr_assert(not ask(Caller, Get).empty());
+    HandedOn = 0;
+    return Caller;
+  }
+
   /// \returns the head of the response to \p Request, "" at an end.
   std::string ask(tcp::socket &Caller, const std::string &Request) {
     boost::system::error_code Error;
@@ -64,6 +83,8 @@
 
   boost::asio::io_context Context{1};
   std::vector<http_server::responder> Held;
+  /// Requests that the server has handed to its handler.
+  int HandedOn = 0;
   http_server Server;
 };
 
@@ -136,3 +157,63 @@
   Loop.run(milliseconds(600));
   cr_assert(Loop.ask(Caller, Get).empty());
 }
+
+// Guards against: a request that has come whole when the server stops is
+// dropped, or is handed on and never answered.
+Test(connections, serves_a_request_that_came_before_the_stop) {
+  one_loop Loop({});
+  tcp::socket Caller = Loop.connectAndAsk();
+  one_loop::send(Caller);
+  Loop.Server.stopAccepting();
+  Loop.run(milliseconds(50));
+  cr_assert(Loop.HandedOn == 1);
+  std::string Head = one_loop::readHead(Caller);
+  cr_assert(Head.find("Connection: close") != std::string::npos, "%s",
+            Head.c_str());
+}
+
+// Guards against: the stop comes between the read of a request and the turn of
+// its handler, which then hands on a request of a closed connection.
+Test(connections, answers_what_it_hands_on_beside_the_stop) {
+  one_loop Loop({});
+  tcp::socket Caller = Loop.connectAndAsk();
+  one_loop::send(Caller);
+  // The first handler that is ready; the read's may be another one.
+  Loop.Context.restart();
+  Loop.Context.poll_one();
+  Loop.Server.stopAccepting();
+  Loop.run(milliseconds(50));
+  int Answered = one_loop::readHead(Caller).empty() ? 0 : 1;
+  cr_assert(Loop.HandedOn == Answered, "%d handed on, %d answered",
+            Loop.HandedOn, Answered);
+}
+
+// Guards against: a connection is closed to make room for a new one although
+// its next request has come.
+Test(connections, makes_no_room_by_dropping_a_request) {
+  http_server_limits Limits;
+  Limits.Connections = 1;
+  one_loop Loop(Limits);
+  tcp::socket Caller = Loop.connectAndAsk();
+  tcp::socket New(Loop.Context);
+  New.connect({boost::asio::ip::address_v4::loopback(), Loop.Server.port()});
+  one_loop::send(Caller);
+  Loop.run(milliseconds(50));
+  cr_assert(Loop.HandedOn == 1);
+  cr_assert(not one_loop::readHead(Caller).empty());
+}
+
+// Guards against: the idle timeout comes between the read of a request and the
+// turn of its handler, and the request is handed on and never answered.
+Test(connections, serves_a_request_that_comes_with_the_idle_timeout) {
+  http_server_limits Limits;
+  Limits.IdleTimeout = milliseconds(100);
+  one_loop Loop(Limits);
+  tcp::socket Caller = Loop.connectAndAsk();
+  // Both are due when the loop runs next.
+  std::this_thread::sleep_for(milliseconds(150));
+  one_loop::send(Caller);
+  Loop.run(milliseconds(50));
+  cr_assert(Loop.HandedOn == 1);
+  cr_assert(not one_loop::readHead(Caller).empty());
+}
