--- a/packages/net/masticproxy/src/Net/heartbeat_schedule.cpp
+++ b/packages/net/masticproxy/src/Net/heartbeat_schedule.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+/// Pause between two heartbeats.
 constexpr milliseconds Interval{1000};
 
 /// Time without a new heartbeat after which another VM may write it.
--- a/packages/net/masticproxy/src/Net/http_session.cpp
+++ b/packages/net/masticproxy/src/Net/http_session.cpp
@@ -60,7 +60,7 @@
   setTcpOptions(Stream.socket());
 }
 
-template <typename step_type> auto http_session::unlessClosed(step_type Step) {
+template <typename StepType> auto http_session::unlessClosed(StepType Step) {
   return [Self = shared_from_this(),
           Step](const boost::system::error_code &Error, auto... Rest) {
     if (!Self->Closed)
--- a/packages/net/masticproxy/src/Net/http_session.h
+++ b/packages/net/masticproxy/src/Net/http_session.h
@@ -48,7 +48,7 @@
 private:
   /// \returns a completion handler that runs \p Step, unless the session was
   /// closed after the operation had completed and before the handler's turn.
-  template <typename step_type> auto unlessClosed(step_type Step);
+  template <typename StepType> auto unlessClosed(StepType Step);
   void read();
   /// Waits until bytes can be read, or the caller has left.
   void awaitBytes();
