Tests of checked feeds share their set-up

Cause: two tests of object_feed built the same caller, codec, clock, check and feed, line by line. Change: checked_feed holds them; the assertions are as they were.

--- a/packages/net/tests/object_feed_test.cpp
+++ b/packages/net/tests/object_feed_test.cpp
@@ -277,6 +277,26 @@
   cr_assert(Asked == (targets{"/list/", "/list/a", "/list/"}));
 }
 
+namespace {
+
+/// \brief A feed whose watches are checked, and all that it needs.
+struct checked_feed {
+  checked_feed(std::uint16_t Port, milliseconds LongestAge)
+      : Caller("127.0.0.1:" + std::to_string(Port), CallTimeout),
+        Check(Clock, Platform, {LongestAge}), Feed(Caller, Codec) {
+    Feed.checkWatches(Check);
+  }
+
+  platform_caller Caller;
+  plain_codec Codec;
+  os_clock Clock;
+  platform_freshness Platform;
+  watch_check Check;
+  object_feed Feed;
+};
+
+} // namespace
+
 // Guards against: a change whose answer was lost on its way stays unknown until
 // the watch times out.
 Test(object_feed, hears_by_a_check_of_a_change_whose_answer_was_lost) {
@@ -296,18 +316,12 @@
         Respond(std::move(Response));
       });
   std::thread Thread([&] { Context.run(); });
-  platform_caller Caller("127.0.0.1:" + std::to_string(Server.port()),
-                         CallTimeout);
-  plain_codec Codec;
-  os_clock Clock;
-  platform_freshness Platform;
-  watch_check Check(Clock, Platform, {milliseconds(400)});
-  object_feed Feed(Caller, Codec);
-  Feed.checkWatches(Check);
+  checked_feed Followed(Server.port(), milliseconds(400));
+  object_feed &Feed = Followed.Feed;
   Feed.next(Wait);
-  auto Start = Clock.now();
+  auto Start = Followed.Clock.now();
   auto Result = Feed.next(milliseconds(20000));
-  cr_assert(Clock.now() - Start < milliseconds(2000));
+  cr_assert(Followed.Clock.now() - Start < milliseconds(2000));
   cr_assert(std::get<feed_news>(Result).Events.size() == 1);
   cr_assert(std::get<feed_news>(Result).Revision == 9);
   cr_assert(Feed.checks() == 2);
@@ -329,18 +343,12 @@
         Respond(std::move(Response));
       });
   std::thread Thread([&] { Context.run(); });
-  platform_caller Caller("127.0.0.1:" + std::to_string(Server.port()),
-                         CallTimeout);
-  plain_codec Codec;
-  os_clock Clock;
-  platform_freshness Platform;
-  watch_check Check(Clock, Platform, {milliseconds(4000)});
-  object_feed Feed(Caller, Codec);
-  Feed.checkWatches(Check);
+  checked_feed Followed(Server.port(), milliseconds(4000));
+  object_feed &Feed = Followed.Feed;
   Feed.next(Wait);
-  Platform.Revision.record(6, 30, Clock.now());
+  Followed.Platform.Revision.record(6, 30, Followed.Clock.now());
   Feed.next(Wait);
-  Platform.Revision.record(31, 39, Clock.now());
+  Followed.Platform.Revision.record(31, 39, Followed.Clock.now());
   Feed.next(Wait);
   Feed.next(Wait);
   Context.stop();
